--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"elmrack.example/elmrack/internal/wire"
+	"threadglade.example/threadglade/internal/wire"
 )
 
 func main() {
--- a/controller.go
+++ b/controller.go
@@ -1,10 +1,10 @@
-// Package elmrack is the controller inside a border proxy: it decides which call set-up goes to which
+// Package threadglade is the controller inside a border proxy: it decides which call set-up goes to which
 // central server, and which is refused. Its interface (settings, events, actions, outcomes) is in api.go.
 //
 // One mechanism, DEOC, decides the ordinary path: per server an admission rate that a return (processor
 // full, a time-out) cuts by a fraction and that climbs by a square law otherwise, enforced by gapping new
 // calls. docs/design.md says what was kept of it, what was changed and why.
-package elmrack
+package threadglade
 
 import (
 	"fmt"
@@ -212,20 +212,20 @@
 func check(set Settings) error {
 	switch {
 	case set.Proxies < 1:
-		return fmt.Errorf("elmrack: Proxies is %d, want at least 1", set.Proxies)
+		return fmt.Errorf("threadglade: Proxies is %d, want at least 1", set.Proxies)
 	case len(set.Classes) == 0:
-		return fmt.Errorf("elmrack: Classes is empty")
+		return fmt.Errorf("threadglade: Classes is empty")
 	case set.Rules.ReleaseWait < 0 || set.Rules.WarmWithin < 0 || set.Rules.FallWindow < 0:
-		return fmt.Errorf("elmrack: Rules has a negative time")
+		return fmt.Errorf("threadglade: Rules has a negative time")
 	case set.Limits.MaxAttempts < 1:
-		return fmt.Errorf("elmrack: Limits.MaxAttempts is %d, want at least 1", set.Limits.MaxAttempts)
+		return fmt.Errorf("threadglade: Limits.MaxAttempts is %d, want at least 1", set.Limits.MaxAttempts)
 	}
 	for i, class := range set.Classes {
 		switch {
 		case class.Aim <= 0 || class.Deadline <= 0:
-			return fmt.Errorf("elmrack: Classes[%d]: Aim and Deadline must be positive", i)
+			return fmt.Errorf("threadglade: Classes[%d]: Aim and Deadline must be positive", i)
 		case !set.Network && len(class.Servers) == 0:
-			return fmt.Errorf("elmrack: Classes[%d].Servers is empty", i)
+			return fmt.Errorf("threadglade: Classes[%d].Servers is empty", i)
 		}
 	}
 	return nil
--- a/example_test.go
+++ b/example_test.go
@@ -1,29 +1,29 @@
-package elmrack_test
+package threadglade_test
 
 import (
 	"fmt"
 	"time"
 
-	"elmrack.example/elmrack"
+	"threadglade.example/threadglade"
 )
 
 // One call comes in and is sent to the server of its first choice.
 func Example() {
-	controller, err := elmrack.New(elmrack.Settings{
+	controller, err := threadglade.New(threadglade.Settings{
 		Proxies: 3,
-		Classes: []elmrack.Class{{Name: "call", Aim: time.Second, Deadline: 8 * time.Second,
+		Classes: []threadglade.Class{{Name: "call", Aim: time.Second, Deadline: 8 * time.Second,
 			Holding: 5 * time.Second, Worth: 1, Servers: []int{1}}},
-		Limits: elmrack.Limits{MaxAttempts: 2},
+		Limits: threadglade.Limits{MaxAttempts: 2},
 	}, 42)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
 	now := time.Hour // a clock of your own that only advances
-	controller.Handle(now, elmrack.ServerList{Servers: []elmrack.Server{{ID: "core-1", Number: 1}}})
-	for _, action := range controller.Handle(now, elmrack.Arrival{Call: "c1", Class: "call", Number: "555",
+	controller.Handle(now, threadglade.ServerList{Servers: []threadglade.Server{{ID: "core-1", Number: 1}}})
+	for _, action := range controller.Handle(now, threadglade.Arrival{Call: "c1", Class: "call", Number: "555",
 		TimeLeft: 3 * time.Second, Destination: 1}) {
-		if send, ok := action.(elmrack.Send); ok {
+		if send, ok := action.(threadglade.Send); ok {
 			fmt.Println("send", send.Call, "to", send.Server, "for at most", send.Timeout)
 		}
 	}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -8,12 +8,12 @@
 	"io"
 	"time"
 
-	"elmrack.example/elmrack"
+	"threadglade.example/threadglade"
 )
 
 // Host runs many instances over one conversation. The instances share nothing but the process.
 type Host struct {
-	instances map[string]*elmrack.Controller
+	instances map[string]*threadglade.Controller
 	tables    map[int][]Row
 	now       time.Duration
 	out       *json.Encoder
@@ -22,7 +22,7 @@
 // Serve answers batches from in on out until in ends. A malformed line is an error that names its number.
 func Serve(in io.Reader, out io.Writer) error {
 	var reply bytes.Buffer
-	h := &Host{instances: map[string]*elmrack.Controller{}, tables: map[int][]Row{}, out: json.NewEncoder(&reply)}
+	h := &Host{instances: map[string]*threadglade.Controller{}, tables: map[int][]Row{}, out: json.NewEncoder(&reply)}
 	h.out.SetEscapeHTML(false)
 	lines := bufio.NewReaderSize(in, 1<<20)
 	for number := 1; ; number++ {
@@ -79,7 +79,7 @@
 	if instance == nil || !known {
 		return nil
 	}
-	actions, err := guarded(func() []elmrack.Action { return instance.Handle(h.now, event) })
+	actions, err := guarded(func() []threadglade.Action { return instance.Handle(h.now, event) })
 	if err != nil {
 		return h.fault(l.Proxy, fmt.Errorf("handling %s: %w", l.Cmd, err))
 	}
@@ -91,7 +91,7 @@
 	if err != nil {
 		return fmt.Errorf("params: %w", err)
 	}
-	instance, err := elmrack.New(settings, l.Seed)
+	instance, err := threadglade.New(settings, l.Seed)
 	if err != nil {
 		return h.fault(l.Proxy, err)
 	}
@@ -104,7 +104,7 @@
 	return h.out.Encode(Reply{Cmd: "Exception", Proxy: proxy, What: err.Error()})
 }
 
-func (h *Host) put(proxy string, actions []elmrack.Action) error {
+func (h *Host) put(proxy string, actions []threadglade.Action) error {
 	for _, a := range actions {
 		r, err := Action(proxy, a)
 		if err != nil {
@@ -118,7 +118,7 @@
 }
 
 // guarded turns a panic of the module into an error.
-func guarded(f func() []elmrack.Action) (actions []elmrack.Action, err error) {
+func guarded(f func() []threadglade.Action) (actions []threadglade.Action, err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("panic: %v", p)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"elmrack.example/elmrack"
+	"threadglade.example/threadglade"
 )
 
 type params struct {
@@ -48,28 +48,28 @@
 	} `json:"rules"`
 }
 
-var repeats = map[string]elmrack.Repeat{
-	"free": elmrack.RepeatFree, "guarded": elmrack.RepeatGuarded, "single_shot": elmrack.RepeatNever,
+var repeats = map[string]threadglade.Repeat{
+	"free": threadglade.RepeatFree, "guarded": threadglade.RepeatGuarded, "single_shot": threadglade.RepeatNever,
 }
 
 // Settings reads an instance's settings; keys it does not know are skipped.
-func Settings(raw json.RawMessage) (elmrack.Settings, error) {
+func Settings(raw json.RawMessage) (threadglade.Settings, error) {
 	var p params
 	if err := json.Unmarshal(raw, &p); err != nil {
-		return elmrack.Settings{}, err
+		return threadglade.Settings{}, err
 	}
-	s := elmrack.Settings{
+	s := threadglade.Settings{
 		Me: p.Me, Proxies: p.Proxies, OverPart: p.OverPart,
 		Network: p.Domain.Form == "network", MustAsk: p.Find == "on_request",
-		Limits: elmrack.Limits{MaxAttempts: p.Limits.MaxAttempts, MaxRetryAfter: Span(p.Limits.MaxPause),
+		Limits: threadglade.Limits{MaxAttempts: p.Limits.MaxAttempts, MaxRetryAfter: Span(p.Limits.MaxPause),
 			RetryAfter: p.Limits.RetryAfter, Cancel: p.Limits.Cancel},
-		Rules: elmrack.Rules{ReleaseWait: Span(p.Domain.Release), DrainGrace: Span(p.Rules.DrainGrace),
+		Rules: threadglade.Rules{ReleaseWait: Span(p.Domain.Release), DrainGrace: Span(p.Rules.DrainGrace),
 			ColdFrom: p.Rules.ColdFrom, WarmWithin: Span(p.Rules.WarmWithin),
 			FallMultiple: p.Rules.Multiple, FallWindow: Span(p.Rules.Window)},
-		Callers: elmrack.Callers{MarkRetries: p.Callers.Marks},
+		Callers: threadglade.Callers{MarkRetries: p.Callers.Marks},
 	}
 	for i, c := range p.Classes {
-		class := elmrack.Class{Name: c.Name, Aim: Span(c.Aim), Deadline: Span(c.Deadline), Worth: c.Gain,
+		class := threadglade.Class{Name: c.Name, Aim: Span(c.Aim), Deadline: Span(c.Deadline), Worth: c.Gain,
 			LateWorth: c.Late, Repeat: repeats[c.Repeat]}
 		if i < len(p.Domain.Pools) {
 			class.Servers = p.Domain.Pools[i]
@@ -80,7 +80,7 @@
 		s.Classes = append(s.Classes, class)
 	}
 	for _, t := range p.Tenants {
-		s.Tenants = append(s.Tenants, elmrack.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Share})
+		s.Tenants = append(s.Tenants, threadglade.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Share})
 	}
 	return s, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,7 @@
 	"math"
 	"time"
 
-	"elmrack.example/elmrack"
+	"threadglade.example/threadglade"
 )
 
 // Line is one incoming line.
@@ -66,58 +66,58 @@
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-var outcomes = map[string]elmrack.Outcome{
-	"OK": elmrack.Concluded, "INTERNAL": elmrack.Faulted, "RESOURCE_EXHAUSTED": elmrack.Rejected,
-	"DEADLINE_EXCEEDED": elmrack.TimedOut, "UNAVAILABLE": elmrack.Unreachable, "ABORTED": elmrack.Cut,
-	"CANCELLED": elmrack.Cancelled, "TOO_LATE": elmrack.NotSent,
+var outcomes = map[string]threadglade.Outcome{
+	"OK": threadglade.Concluded, "INTERNAL": threadglade.Faulted, "RESOURCE_EXHAUSTED": threadglade.Rejected,
+	"DEADLINE_EXCEEDED": threadglade.TimedOut, "UNAVAILABLE": threadglade.Unreachable, "ABORTED": threadglade.Cut,
+	"CANCELLED": threadglade.Cancelled, "TOO_LATE": threadglade.NotSent,
 }
 
-var states = map[string]elmrack.ServerState{
-	"up": elmrack.Up, "draining": elmrack.Draining, "removed": elmrack.Removed,
+var states = map[string]threadglade.ServerState{
+	"up": threadglade.Up, "draining": threadglade.Draining, "removed": threadglade.Removed,
 }
 
 // codes holds the low four bits of a clear code; 18 is a processor beyond the one that answered.
-var codes = map[int]elmrack.Cause{
-	1: elmrack.CauseNoAgent, 2: elmrack.CauseTurnedBack, 3: elmrack.CauseProcessorFull, 4: elmrack.CauseLinesBusy,
+var codes = map[int]threadglade.Cause{
+	1: threadglade.CauseNoAgent, 2: threadglade.CauseTurnedBack, 3: threadglade.CauseProcessorFull, 4: threadglade.CauseLinesBusy,
 }
 
 // Event translates a line about one instance; known is false for a message that the module has no use for.
-func (l Line) Event(tables map[int][]Row) (ev elmrack.Event, known bool, err error) {
+func (l Line) Event(tables map[int][]Row) (ev threadglade.Event, known bool, err error) {
 	switch l.Cmd {
 	case "Registry":
 		ev, err := l.list(tables)
 		return ev, err == nil, err
 	case "JobIn":
-		return elmrack.Arrival{
+		return threadglade.Arrival{
 			Call: l.Call, Class: l.Class, Tenant: l.Tenant, Number: l.Number, TimeLeft: Span(l.TimeLeft),
 			Destination: l.Destination, Retry: l.Retry, InTransit: l.InTransit,
 		}, true, nil
 	case "FirstByte":
-		return elmrack.Stood{Call: l.Call, Attempt: l.Attempt, Server: l.Server, After: Span(l.Wait)}, true, nil
+		return threadglade.Stood{Call: l.Call, Attempt: l.Attempt, Server: l.Server, After: Span(l.Wait)}, true, nil
 	case "ClosedAttempt":
 		outcome, ok := outcomes[l.Ending]
 		if !ok {
 			return nil, false, fmt.Errorf("unknown ending %q", l.Ending)
 		}
-		return elmrack.Ended{
+		return threadglade.Ended{
 			Call: l.Call, Attempt: l.Attempt, Server: l.Server, Outcome: outcome, Cause: codes[l.Code&15],
 			After: Span(l.Wait), Settled: l.Settled,
 		}, true, nil
 	case "CheckResult":
 		free, told := l.Pressure["idle"]
 		total, sized := l.Pressure["circuits"]
-		agents := elmrack.Agents{Server: l.Server, Free: int(free), Total: int(total)}
+		agents := threadglade.Agents{Server: l.Server, Free: int(free), Total: int(total)}
 		return agents, told && sized && l.Ending == "OK", nil
 	case "CancelledByClient":
-		return elmrack.CallerGone{Call: l.Call}, true, nil
+		return threadglade.CallerGone{Call: l.Call}, true, nil
 	case "Due":
-		return elmrack.Due{Token: l.Token}, true, nil
+		return threadglade.Due{Token: l.Token}, true, nil
 	}
 	return nil, false, nil
 }
 
-func (l Line) list(tables map[int][]Row) (elmrack.Event, error) {
-	ev := elmrack.ServerList{Delta: l.Scope == "Partial", Stored: l.Scope == "Persisted", Failed: l.Scope == "Error"}
+func (l Line) list(tables map[int][]Row) (threadglade.Event, error) {
+	ev := threadglade.ServerList{Delta: l.Scope == "Partial", Stored: l.Scope == "Persisted", Failed: l.Scope == "Error"}
 	if ev.Failed {
 		return ev, nil
 	}
@@ -126,7 +126,7 @@
 		if !ok {
 			return nil, fmt.Errorf("unknown state %q of server %s", r.State, r.Server)
 		}
-		ev.Servers = append(ev.Servers, elmrack.Server{ID: r.Server, Number: r.Number, State: state,
+		ev.Servers = append(ev.Servers, threadglade.Server{ID: r.Server, Number: r.Number, State: state,
 			Started: Span(r.Started)})
 	}
 	return ev, nil
@@ -147,18 +147,18 @@
 }
 
 // Action translates an action of one instance.
-func Action(proxy string, a elmrack.Action) (Reply, error) {
+func Action(proxy string, a threadglade.Action) (Reply, error) {
 	switch a := a.(type) {
-	case elmrack.Send:
+	case threadglade.Send:
 		return Reply{Cmd: "SubmitTo", Proxy: proxy, Call: a.Call, Server: a.Server, Timeout: millis(a.Timeout)}, nil
-	case elmrack.Refuse:
+	case threadglade.Refuse:
 		return Reply{Cmd: "Shed", Proxy: proxy, Call: a.Call, Pause: millis(a.RetryAfter)}, nil
-	case elmrack.Fail:
+	case threadglade.Fail:
 		return Reply{Cmd: "DropRequest", Proxy: proxy, Call: a.Call}, nil
-	case elmrack.SetTimer:
+	case threadglade.SetTimer:
 		at := millis(a.At)
 		return Reply{Cmd: "WakeAt", Proxy: proxy, At: &at, Token: &a.Token}, nil
-	case elmrack.Subscribe:
+	case threadglade.Subscribe:
 		return Reply{Cmd: "Observe", Proxy: proxy, Enable: true}, nil
 	}
 	return Reply{}, fmt.Errorf("no wire form for %T", a)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"elmrack.example/elmrack"
 	"strings"
 	"testing"
+	"threadglade.example/threadglade"
 )
 
 const start = `{"cmd":"Mark","clockMs":1000}
@@ -93,13 +93,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !strings.HasPrefix(got, `{"cmd":"Exception","proxyId":"p","what":"elmrack: Classes`) {
+	if !strings.HasPrefix(got, `{"cmd":"Exception","proxyId":"p","what":"threadglade: Classes`) {
 		t.Errorf("got %s", got)
 	}
 }
 
 func TestPanicIsAnError(t *testing.T) {
-	if _, err := guarded(func() (_ []elmrack.Action) { panic("odd state") }); err == nil {
+	if _, err := guarded(func() (_ []threadglade.Action) { panic("odd state") }); err == nil {
 		t.Error("no error")
 	}
 }
--- a/random_test.go
+++ b/random_test.go
@@ -1,4 +1,4 @@
-package elmrack
+package threadglade
 
 import (
 	"fmt"
