--- /dev/null
+++ b/cmd/threadglade/main.go
@@ -0,0 +1,70 @@
+// Command threadglade is the call router: serve runs it, check reads its configuration, version names the build.
+// This file owns the command line and must never hold anything else.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	"threadglade.example/threadglade/internal/node"
+	"threadglade.example/threadglade/router"
+)
+
+func main() {
+	root := &cobra.Command{Use: "threadglade", Short: "A call router between callers and case servers",
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs}
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Route calls until SIGTERM", Args: cobra.NoArgs,
+			Long: "Route calls until SIGTERM. The configuration is the JSON file that NODE_CONFIG names; NODE_LISTEN,\n" +
+				"if set, overrides the address in it. SIGUSR1 prints the counters.",
+			RunE: func(*cobra.Command, []string) error { return serve() }},
+		&cobra.Command{Use: "check", Short: "Read the configuration and say what it holds", Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				c, err := node.LoadConfig()
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: listen %s, name service %s, %d servers at list %d, %d classes, %d routers\n",
+					c.Name, c.Listen, c.Resolver, len(c.Servers), c.Cursor, len(c.Settings.Classes), c.Settings.Proxies)
+				return nil
+			}},
+		&cobra.Command{Use: "version", Short: "Name the build", Args: cobra.NoArgs,
+			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "threadglade", version()) }},
+	)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "threadglade:", err)
+		os.Exit(1)
+	}
+}
+
+func serve() error {
+	c, err := node.LoadConfig()
+	if err != nil {
+		return err
+	}
+	node.Limit(c)
+	n, err := node.New(c, router.SystemClock(), node.Logger(os.Stderr, c.Name))
+	if err != nil {
+		return err
+	}
+	n.Signals()
+	return n.Run()
+}
+
+// version is what the build knows of itself.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "(unknown)"
+	}
+	text := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			text += " " + s.Value
+		}
+	}
+	return text + " " + info.GoVersion
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,471 @@
+// Package loop owns the sockets: one epoll set, the listeners, the connections and the UDP sockets in it, and
+// the buffers that their bytes pass through. It serves all of them from one goroutine and calls back into
+// whoever opened them. It must never start a goroutine, block on a socket, know what the bytes mean, or call
+// back from any goroutine but the one in Run; other goroutines may only call Post and Stop.
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	readMost  = 64 << 10  // bytes that may lie unread by a connection's owner
+	readStep  = 16 << 10  // first size of a read buffer
+	writeMost = 1 << 20   // bytes that may wait to be written on one connection
+	batch     = 128       // events taken from epoll at a time
+	idleMost  = time.Hour // longest wait with nothing due
+)
+
+// Errors that a connection may close with.
+var (
+	ErrEOF       = errors.New("closed by the other side")
+	ErrSlow      = errors.New("the other side does not read")
+	ErrTooLong   = errors.New("message longer than the read buffer")
+	ErrDialLate  = errors.New("not connected in time")
+	ErrAbandoned = errors.New("closed on this side")
+)
+
+// Handler is told what happens on a connection. Data returns how many bytes it took; the rest is offered again
+// with what follows. The slice is only valid during the call. Closed comes exactly once, also for a connection
+// that never opened.
+type Handler interface {
+	Opened(c *Conn)
+	Data(c *Conn, b []byte) int
+	Closed(c *Conn, err error)
+}
+
+// Loop is one epoll set and all that is in it.
+type Loop struct {
+	epoll   int
+	wake    int // eventfd
+	sources map[int32]source
+	closing []int // closed once the batch is over, so that no number is reused within it
+	mu      sync.Mutex
+	posted  []func()
+	stop    bool
+}
+
+// source is anything with a descriptor in the set.
+type source interface{ ready(events uint32) }
+
+// New opens an empty loop.
+func New() (*Loop, error) {
+	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	wake, err := unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK)
+	if err != nil {
+		unix.Close(epoll)
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	l := &Loop{epoll: epoll, wake: wake, sources: map[int32]source{}}
+	return l, l.add(wake, unix.EPOLLIN, &waker{l})
+}
+
+// Post has f called on the loop. It may be called from any goroutine.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.posted = append(l.posted, f)
+	l.mu.Unlock()
+	unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+}
+
+// Stop ends Run. It may be called from any goroutine.
+func (l *Loop) Stop() { l.Post(func() { l.stop = true }) }
+
+// Run serves until Stop. Before each wait it calls due, which does what has fallen due and returns how long
+// nothing more will be.
+func (l *Loop) Run(due func() time.Duration) error {
+	events := make([]unix.EpollEvent, batch)
+	for !l.stop {
+		wait := due()
+		l.reap()
+		if l.stop {
+			break
+		}
+		// Rounded up, or a timer due in half a millisecond would spin.
+		ms := int((min(max(wait, 0), idleMost) + time.Millisecond - 1) / time.Millisecond)
+		n, err := unix.EpollWait(l.epoll, events, ms)
+		if err != nil && err != unix.EINTR {
+			return fmt.Errorf("epoll wait: %w", err)
+		}
+		for _, e := range events[:max(n, 0)] {
+			if s := l.sources[e.Fd]; s != nil {
+				s.ready(e.Events)
+			}
+		}
+		l.reap()
+	}
+	return nil
+}
+
+// Close closes every descriptor of a loop that has stopped.
+func (l *Loop) Close() {
+	for fd := range l.sources {
+		unix.Close(int(fd))
+	}
+	clear(l.sources)
+	l.reap()
+	unix.Close(l.epoll)
+}
+
+func (l *Loop) reap() {
+	for _, fd := range l.closing {
+		unix.Close(fd)
+	}
+	l.closing = l.closing[:0]
+}
+
+func (l *Loop) add(fd int, events uint32, s source) error {
+	l.sources[int32(fd)] = s
+	return unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
+}
+
+func (l *Loop) drop(fd int) {
+	if _, in := l.sources[int32(fd)]; !in {
+		return
+	}
+	delete(l.sources, int32(fd))
+	unix.EpollCtl(l.epoll, unix.EPOLL_CTL_DEL, fd, nil)
+	l.closing = append(l.closing, fd)
+}
+
+type waker struct{ l *Loop }
+
+func (w *waker) ready(uint32) {
+	var b [8]byte
+	unix.Read(w.l.wake, b[:])
+	w.l.mu.Lock()
+	posted := w.l.posted
+	w.l.posted = nil
+	w.l.mu.Unlock()
+	for _, f := range posted {
+		f()
+	}
+}
+
+// ---- TCP ----
+
+// Listener accepts connections.
+type Listener struct {
+	l      *Loop
+	fd     int
+	accept func(*Conn) Handler
+}
+
+// Listen accepts connections on an address; accept gives each its handler, or nil to have it closed.
+func (l *Loop) Listen(addr netip.AddrPort, accept func(*Conn) Handler) (*Listener, error) {
+	fd, err := socket(addr, unix.SOCK_STREAM)
+	if err != nil {
+		return nil, err
+	}
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err := unix.Bind(fd, sockaddr(addr)); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("bind %s: %w", addr, err)
+	}
+	if err := unix.Listen(fd, 1024); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	ln := &Listener{l: l, fd: fd, accept: accept}
+	return ln, l.add(fd, unix.EPOLLIN, ln)
+}
+
+// Addr is where the listener listens.
+func (ln *Listener) Addr() netip.AddrPort { return local(ln.fd) }
+
+// Close stops accepting.
+func (ln *Listener) Close() { ln.l.drop(ln.fd) }
+
+func (ln *Listener) ready(uint32) {
+	for {
+		fd, from, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err == unix.EINTR || err == unix.ECONNABORTED {
+			continue
+		}
+		if err != nil {
+			return // EAGAIN, or no descriptor free: the backlog keeps what is there
+		}
+		c := &Conn{l: ln.l, fd: fd, remote: addrPort(from), open: true}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		if c.handler = ln.accept(c); c.handler == nil {
+			unix.Close(fd)
+			continue
+		}
+		c.interest = unix.EPOLLIN | unix.EPOLLRDHUP
+		if ln.l.add(fd, c.interest, c) != nil {
+			c.Close(ErrAbandoned)
+			continue
+		}
+		c.handler.Opened(c)
+	}
+}
+
+// Conn is one TCP connection.
+type Conn struct {
+	l        *Loop
+	fd       int
+	remote   netip.AddrPort
+	handler  Handler
+	open     bool // connected
+	closed   bool
+	interest uint32
+	in, out  []byte
+	finish   bool // close once everything is written
+}
+
+// Dial begins to connect; the handler hears Opened or Closed, always after Dial has returned.
+func (l *Loop) Dial(addr netip.AddrPort, h Handler) *Conn {
+	c := &Conn{l: l, fd: -1, remote: addr, handler: h}
+	fd, err := socket(addr, unix.SOCK_STREAM)
+	if err == nil {
+		c.fd = fd
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		if err = unix.Connect(fd, sockaddr(addr)); err == nil || err == unix.EINPROGRESS {
+			c.interest = unix.EPOLLOUT
+			err = l.add(fd, c.interest, c)
+		}
+	}
+	if err != nil {
+		l.Post(func() { c.Close(err) })
+	}
+	return c
+}
+
+// Remote is the other side's address.
+func (c *Conn) Remote() netip.AddrPort { return c.remote }
+
+// Open says whether the connection can be written to.
+func (c *Conn) Open() bool { return c.open && !c.closed }
+
+// Write sends bytes or keeps a copy of those that the kernel does not take yet.
+func (c *Conn) Write(b []byte) {
+	if !c.Open() || c.finish {
+		return
+	}
+	if len(c.out) == 0 {
+		n, err := unix.Write(c.fd, b)
+		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+			// The owner may be in the middle of its own work: it hears of the end from the loop.
+			c.l.Post(func() { c.Close(err) })
+			return
+		}
+		b = b[max(n, 0):]
+	}
+	if len(b) == 0 {
+		return
+	}
+	if len(c.out)+len(b) > writeMost {
+		c.l.Post(func() { c.Close(ErrSlow) })
+		return
+	}
+	c.out = append(c.out, b...)
+	c.watch()
+}
+
+// Finish closes the connection once everything is written.
+func (c *Conn) Finish() {
+	c.finish = true
+	if len(c.out) == 0 {
+		c.l.Post(func() { c.Close(ErrAbandoned) })
+	}
+}
+
+// Close ends the connection; bytes not yet written are lost.
+func (c *Conn) Close(err error) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	if c.fd >= 0 {
+		if _, in := c.l.sources[int32(c.fd)]; in {
+			c.l.drop(c.fd)
+		} else {
+			unix.Close(c.fd)
+		}
+	}
+	c.in, c.out = nil, nil
+	c.handler.Closed(c, err)
+}
+
+func (c *Conn) watch() {
+	want := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
+	if len(c.out) > 0 {
+		want |= unix.EPOLLOUT
+	}
+	if want != c.interest {
+		c.interest = want
+		unix.EpollCtl(c.l.epoll, unix.EPOLL_CTL_MOD, c.fd, &unix.EpollEvent{Events: want, Fd: int32(c.fd)})
+	}
+}
+
+func (c *Conn) ready(events uint32) {
+	if !c.open {
+		errno, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		if err != nil {
+			c.Close(err)
+			return
+		}
+		if errno != 0 {
+			c.Close(unix.Errno(errno))
+			return
+		}
+		c.open = true
+		c.watch()
+		c.handler.Opened(c)
+	}
+	if events&unix.EPOLLOUT != 0 && !c.flush() {
+		return
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		c.read()
+	}
+}
+
+func (c *Conn) flush() bool {
+	for len(c.out) > 0 {
+		n, err := unix.Write(c.fd, c.out)
+		if err == unix.EAGAIN {
+			break
+		}
+		if err != nil && err != unix.EINTR {
+			c.Close(err)
+			return false
+		}
+		c.out = c.out[max(n, 0):]
+	}
+	if len(c.out) == 0 {
+		c.out = nil
+		if c.finish {
+			c.Close(ErrAbandoned)
+			return false
+		}
+	}
+	c.watch()
+	return true
+}
+
+// read takes what has come, at most one buffer full a turn so that no connection starves the others.
+func (c *Conn) read() {
+	if cap(c.in)-len(c.in) < readStep/4 {
+		grown := make([]byte, len(c.in), max(readStep, 2*cap(c.in)))
+		copy(grown, c.in)
+		c.in = grown
+	}
+	n, err := unix.Read(c.fd, c.in[len(c.in):cap(c.in)])
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return
+	case err != nil:
+		c.Close(err)
+		return
+	case n == 0:
+		c.Close(ErrEOF)
+		return
+	}
+	c.in = c.in[:len(c.in)+n]
+	taken := 0
+	for taken < len(c.in) && !c.closed {
+		used := c.handler.Data(c, c.in[taken:])
+		if used <= 0 {
+			break
+		}
+		taken += used
+	}
+	if c.closed {
+		return
+	}
+	c.in = c.in[:copy(c.in, c.in[taken:])]
+	if len(c.in) >= readMost {
+		c.Close(ErrTooLong)
+	}
+}
+
+// ---- UDP ----
+
+// Packets is one UDP socket bound to one peer.
+type Packets struct {
+	l    *Loop
+	fd   int
+	take func(b []byte)
+	buf  []byte
+}
+
+// UDP opens a socket to a peer. take gets each datagram; the slice is only valid during the call.
+func (l *Loop) UDP(peer netip.AddrPort, take func(b []byte)) (*Packets, error) {
+	fd, err := socket(peer, unix.SOCK_DGRAM)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Connect(fd, sockaddr(peer)); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("connect to %s: %w", peer, err)
+	}
+	p := &Packets{l: l, fd: fd, take: take, buf: make([]byte, readMost)}
+	return p, l.add(fd, unix.EPOLLIN, p)
+}
+
+// Send sends one datagram. One that cannot be sent is lost, as any may be.
+func (p *Packets) Send(b []byte) { unix.Write(p.fd, b) }
+
+// Close closes the socket.
+func (p *Packets) Close() { p.l.drop(p.fd) }
+
+func (p *Packets) ready(uint32) {
+	for range batch {
+		n, err := unix.Read(p.fd, p.buf)
+		if err == unix.EAGAIN {
+			return
+		}
+		if err == nil {
+			p.take(p.buf[:n])
+		}
+	}
+}
+
+// ---- addresses ----
+
+func socket(addr netip.AddrPort, kind int) (int, error) {
+	family := unix.AF_INET
+	if addr.Addr().Is6() {
+		family = unix.AF_INET6
+	}
+	fd, err := unix.Socket(family, kind|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, fmt.Errorf("socket: %w", err)
+	}
+	return fd, nil
+}
+
+func sockaddr(a netip.AddrPort) unix.Sockaddr {
+	if a.Addr().Is6() {
+		return &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
+	}
+	return &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}
+}
+
+func addrPort(sa unix.Sockaddr) netip.AddrPort {
+	switch sa := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(sa.Addr), uint16(sa.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(sa.Addr), uint16(sa.Port))
+	}
+	return netip.AddrPort{}
+}
+
+func local(fd int) netip.AddrPort {
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return addrPort(sa)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,260 @@
+// Package node puts one call router together: it reads what the platform tells a call router, joins the loop, the
+// router, the SIP front and trunk and the server list, and ends them in order. It owns the process's limits and
+// its signals. It must never decide about a call or touch a message.
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"threadglade.example/threadglade"
+	"threadglade.example/threadglade/internal/loop"
+	"threadglade.example/threadglade/internal/registry"
+	"threadglade.example/threadglade/internal/sip"
+	"threadglade.example/threadglade/internal/wire"
+	"threadglade.example/threadglade/router"
+)
+
+const (
+	// stayFor is how long a router that was told to end still takes what callers send it.
+	stayFor = 750 * time.Millisecond
+	// memoryPart of the limit is the most that the collector lets the heap come to.
+	memoryPart = 0.7
+	// callerPart of the descriptors may be held by callers.
+	callerPart = 3
+)
+
+// Config is what the platform tells a call router.
+type Config struct {
+	Name     string
+	Listen   netip.AddrPort
+	Resolver netip.AddrPort
+	Seed     uint64
+	MemoryMB int
+	Sockets  int
+	Cursor   uint32
+	Servers  []sip.Server
+	Settings threadglade.Settings
+
+	ConnectTimeout time.Duration
+	Free, Total    string // names of the figures in a server's state
+}
+
+// ReadConfig reads the platform's configuration; listen, if not empty, overrides the address in it.
+func ReadConfig(text []byte, listen string) (Config, error) {
+	var raw struct {
+		Name   string `json:"name"`
+		Listen string `json:"listen"`
+		Seed   string `json:"seed"`
+		Limits struct {
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Resolver string          `json:"resolver"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return Config{}, err
+	}
+	var more struct {
+		Report struct {
+			Fields []string `json:"fields"`
+		} `json:"report"`
+		Limits struct {
+			Connect float64 `json:"connectTimeoutMs"`
+		} `json:"limits"`
+	}
+	if err := json.Unmarshal(raw.Settings, &more); err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	c := Config{Name: raw.Name, MemoryMB: int(raw.Limits.MemoryMB), Sockets: raw.Limits.Sockets,
+		ConnectTimeout: wire.Span(more.Limits.Connect)}
+	if c.ConnectTimeout <= 0 {
+		c.ConnectTimeout = 500 * time.Millisecond
+	}
+	if len(more.Report.Fields) >= 2 {
+		c.Free, c.Total = more.Report.Fields[0], more.Report.Fields[1]
+	}
+	if listen == "" {
+		listen = raw.Listen
+	}
+	var err error
+	if c.Listen, err = netip.ParseAddrPort(listen); err != nil {
+		return c, fmt.Errorf("listen: %w", err)
+	}
+	if c.Resolver, err = netip.ParseAddrPort(raw.Resolver); err != nil {
+		return c, fmt.Errorf("resolver: %w", err)
+	}
+	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed: %w", err)
+	}
+	if c.Settings, err = wire.Settings(raw.Settings); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	if c.Cursor, c.Servers, err = registry.ReadKnown(raw.Known); err != nil {
+		return c, fmt.Errorf("known: %w", err)
+	}
+	if _, err = threadglade.New(c.Settings, c.Seed); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	return c, nil
+}
+
+// LoadConfig reads the configuration that the environment names.
+func LoadConfig() (Config, error) {
+	path := os.Getenv("NODE_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("NODE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, err
+	}
+	c, err := ReadConfig(text, os.Getenv("NODE_LISTEN"))
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Node is one running call router.
+type Node struct {
+	Loop   *loop.Loop
+	Router *router.Router
+	clock  router.Clock
+	log    func(string, ...any)
+	front  *sip.Front
+	trunk  *sip.Trunk
+	names  *registry.Client
+	listen *loop.Listener
+	// More prints further counters; may be nil.
+	More func() string
+	// Owed is what else keeps the process from ending; may be nil.
+	Owed func() int
+}
+
+// Logger writes lines with the time and the router's name.
+func Logger(w io.Writer, name string) func(string, ...any) {
+	return func(format string, args ...any) {
+		fmt.Fprintf(w, "%s %s %s\n", time.Now().UTC().Format("15:04:05.000"), name, fmt.Sprintf(format, args...))
+	}
+}
+
+// New opens the sockets of a call router. Nothing is served before Run.
+func New(c Config, clock router.Clock, log func(string, ...any)) (*Node, error) {
+	l, err := loop.New()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{Loop: l, clock: clock, log: log}
+	n.trunk = sip.NewTrunk(sip.TrunkConfig{Loop: l, Clock: clock, ConnectTimeout: c.ConnectTimeout, Free: c.Free,
+		Total: c.Total, Log: log})
+	n.Router, err = router.New(router.Config{Settings: c.Settings, Seed: c.Seed, Clock: clock, Trunk: n.trunk, Log: log,
+		Orphan: func(id string, how threadglade.Outcome) { n.front.Orphan(id, how) }})
+	if err != nil {
+		return nil, err
+	}
+	n.front = sip.NewFront(n.Router, clock, c.Sockets/callerPart)
+	n.trunk.Start(n.Router)
+	n.list(c.Servers, true)
+	if n.names, err = registry.Follow(l, c.Resolver, c.Cursor, clock, n.Router.At, log,
+		func(servers []sip.Server) { n.list(servers, false) }); err != nil {
+		return nil, err
+	}
+	if n.listen, err = l.Listen(c.Listen, n.front.Accept); err != nil {
+		return nil, err
+	}
+	log("serving on %s: %d servers known, list %d, name service %s", n.listen.Addr(), len(c.Servers), c.Cursor, c.Resolver)
+	return n, nil
+}
+
+// Addr is where callers connect.
+func (n *Node) Addr() netip.AddrPort { return n.listen.Addr() }
+
+// list hands on the whole list. The router hears first: what is cut at a server that is gone is not sent there
+// again.
+func (n *Node) list(servers []sip.Server, stored bool) {
+	ev := threadglade.ServerList{Stored: stored}
+	for _, s := range servers {
+		ev.Servers = append(ev.Servers, s.Server)
+		if !stored {
+			n.log("list: server %s number %d state %d started %d", s.ID, s.Number, s.State, s.Started.Milliseconds())
+		}
+	}
+	n.Router.List(ev)
+	n.trunk.List(servers)
+}
+
+// Run serves until Shutdown has been called and nothing is owed any more.
+func (n *Node) Run() error {
+	err := n.Loop.Run(n.Router.Tick)
+	n.log("counters %s", n.Counters())
+	n.Loop.Close()
+	return err
+}
+
+// Shutdown ends Run once nothing is owed, and not before callers have had time to turn elsewhere.
+func (n *Node) Shutdown() {
+	n.log("told to end: %d requests open", n.Router.Open())
+	earliest := n.clock() + stayFor
+	var look func()
+	look = func() {
+		open := n.Router.Open()
+		if n.Owed != nil {
+			open += n.Owed()
+		}
+		if open == 0 && n.clock() >= earliest {
+			n.Loop.Stop()
+			return
+		}
+		n.Router.At(n.clock()+20*time.Millisecond, look)
+	}
+	look()
+}
+
+// Counters prints all counters on one line.
+func (n *Node) Counters() string {
+	f, t, d := n.front.Counters(), n.trunk.Counters(), n.names.Counters()
+	text := fmt.Sprintf("%v front=%+v trunk=%+v names=%+v", n.Router.Counters(), f, t, d)
+	if n.More != nil {
+		text += " " + n.More()
+	}
+	return text
+}
+
+// Limit keeps the process within one core and its memory.
+func Limit(c Config) {
+	runtime.GOMAXPROCS(1)
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(c.MemoryMB) * (1 << 20)))
+	}
+}
+
+// Signals has SIGTERM and SIGINT end the node and SIGUSR1 print the counters.
+func (n *Node) Signals() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		ending := false
+		for s := range signals {
+			switch {
+			case s == syscall.SIGUSR1:
+				n.Loop.Post(func() { n.log("counters %s", n.Counters()) })
+			case !ending:
+				ending = true
+				n.Loop.Post(n.Shutdown)
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/sip/trunk.go
@@ -0,0 +1,527 @@
+package sip
+
+import (
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"threadglade.example/threadglade"
+	"threadglade.example/threadglade/internal/loop"
+	"threadglade.example/threadglade/router"
+)
+
+const (
+	// redialAfter is the pause between two tries to connect to a listed server.
+	redialAfter = 250 * time.Millisecond
+	// silentAfter is how long a server with calls may say nothing before a new connection has to show that it
+	// is there: its state comes about every second, and a vanished machine leaves its connections open.
+	silentAfter = 1500 * time.Millisecond
+	// deadAfter is how long a server must have been out of reach before its calls count as cut.
+	deadAfter = 2 * time.Second
+	// watchEvery is how often servers are looked at.
+	watchEvery = 100 * time.Millisecond
+)
+
+// Server is an entry of the server list with its address.
+type Server struct {
+	threadglade.Server
+	Addr netip.AddrPort
+}
+
+// TrunkConfig is what a Trunk needs.
+type TrunkConfig struct {
+	Loop           *loop.Loop
+	Clock          router.Clock
+	ConnectTimeout time.Duration // from the settings
+	Free, Total    string        // names of the figures in a server's state
+	Log            func(format string, args ...any)
+}
+
+// Trunk carries attempts to case servers. A server is its id: an address may come to belong to another one.
+type Trunk struct {
+	cfg    TrunkConfig
+	router *router.Router
+	peers  map[string]*peer
+	legs   map[string]*outLeg // the one attempt of each call that is out or stands
+	buf    out
+	count  TrunkCounters
+}
+
+// TrunkCounters count what went to case servers and came from them.
+type TrunkCounters struct {
+	Dials, DialsFailed, Closed, Invites, Cancels, Releases, Messages, Malformed, States, Crossed, Silent uint64
+}
+
+// peer is one server and the connections to it.
+type peer struct {
+	t         *Trunk
+	server    Server
+	gone      bool
+	line      *line   // where new set-ups go; nil while there is none
+	dial      *line   // connecting
+	old       []*line // replaced, but with attempts on them
+	lastDial  time.Duration
+	lostSince time.Duration // out of reach since then; 0: in reach
+	pending   []*outLeg     // wait for a connection
+	legs      int           // attempts of it in Trunk.legs
+}
+
+// line is one connection to a peer.
+type line struct {
+	p     *peer
+	conn  *loop.Conn
+	since time.Duration // when it was opened
+	heard time.Duration
+	m     message
+}
+
+// outLeg is one attempt as the case server sees it.
+type outLeg struct {
+	router.Attempt
+	p        *peer
+	on       *line // nil while it waits for a connection
+	by       time.Duration
+	sent     time.Duration
+	standing bool
+}
+
+// NewTrunk makes a trunk; Start gives it its router.
+func NewTrunk(cfg TrunkConfig) *Trunk {
+	return &Trunk{cfg: cfg, peers: map[string]*peer{}, legs: map[string]*outLeg{}}
+}
+
+// Start begins to watch the servers.
+func (t *Trunk) Start(r *router.Router) {
+	t.router = r
+	t.watch()
+}
+
+// Counters returns a copy.
+func (t *Trunk) Counters() TrunkCounters { return t.count }
+
+// ---- the server list ----
+
+// List takes the whole list. A server that it does not name is gone.
+func (t *Trunk) List(servers []Server) {
+	named := map[string]bool{}
+	for _, s := range servers {
+		named[s.ID] = s.State != threadglade.Removed
+		if s.State == threadglade.Removed {
+			continue
+		}
+		p := t.peers[s.ID]
+		if p == nil {
+			p = &peer{t: t}
+			t.peers[s.ID] = p
+			p.server = s
+			p.connect()
+			continue
+		}
+		old := p.server
+		p.server, p.gone = s, false
+		if old.Started != s.Started || old.Addr != s.Addr {
+			t.cfg.Log("server %s started anew", s.ID)
+			p.restarted(s.Started)
+		}
+	}
+	for id, p := range t.peers {
+		if !named[id] && !p.gone {
+			p.gone = true
+			t.cfg.Log("server %s is gone, %d attempts cut", id, p.legs)
+			p.cutAll(func(*outLeg) bool { return true })
+			p.hangUp()
+			delete(t.peers, id)
+		}
+	}
+}
+
+// restarted drops what belonged to the process before.
+func (p *peer) restarted(at time.Duration) {
+	p.cutAll(func(l *outLeg) bool { return l.on != nil && l.on.since < at })
+	if p.line != nil && p.line.since < at {
+		p.hangUp()
+	}
+	if p.line == nil {
+		p.connect()
+	}
+}
+
+func (p *peer) hangUp() {
+	lines := append(p.old, p.line, p.dial)
+	p.line, p.dial, p.old = nil, nil, nil
+	for _, l := range lines {
+		if l != nil {
+			l.conn.Close(loop.ErrAbandoned)
+		}
+	}
+}
+
+// retire takes the present line out of use. It stays open for what is out on it.
+func (p *peer) retire() {
+	if p.line != nil {
+		p.old = append(p.old, p.line)
+		p.line = nil
+	}
+}
+
+// tidy closes replaced lines that nothing is on any more.
+func (p *peer) tidy() {
+	if len(p.old) == 0 {
+		return
+	}
+	used := map[*line]bool{}
+	for _, l := range p.t.legs {
+		used[l.on] = !l.standing || used[l.on]
+	}
+	lines := p.old
+	p.old = nil
+	for _, l := range lines {
+		if used[l] && l.conn.Open() {
+			p.old = append(p.old, l)
+		} else {
+			l.conn.Close(loop.ErrAbandoned)
+		}
+	}
+}
+
+// cutAll ends those of the peer's sent attempts that match, as if they had been reset.
+func (p *peer) cutAll(match func(*outLeg) bool) {
+	for _, l := range p.t.legs {
+		if l.p == p && match(l) {
+			p.t.end(l, threadglade.Cut, threadglade.CauseNone)
+		}
+	}
+}
+
+// watch looks after every server: it redials, notices silence and gives up the calls of a dead one.
+func (t *Trunk) watch() {
+	now := t.cfg.Clock()
+	for _, p := range t.peers {
+		p.look(now)
+	}
+	t.router.At(now+watchEvery, t.watch)
+}
+
+func (p *peer) look(now time.Duration) {
+	p.tidy()
+	if p.dial != nil && now-p.lastDial >= p.t.cfg.ConnectTimeout {
+		p.dial.conn.Close(loop.ErrDialLate)
+	}
+	for _, l := range append([]*outLeg(nil), p.pending...) {
+		if now >= l.by {
+			p.t.end(l, threadglade.Unreachable, threadglade.CauseNone)
+		}
+	}
+	if p.dial == nil && now-p.lastDial >= redialAfter {
+		switch {
+		case p.line == nil:
+			p.connect()
+		case p.legs > 0 && now-p.line.heard > silentAfter:
+			p.t.count.Silent++
+			p.connect()
+		}
+	}
+	if p.lostSince > 0 && now-p.lostSince > deadAfter && p.legs > 0 {
+		p.t.cfg.Log("server %s has been out of reach for %v, %d attempts cut", p.server.ID, deadAfter, p.legs)
+		p.cutAll(func(l *outLeg) bool { return l.on != nil })
+	}
+}
+
+// connect opens a connection that takes the place of the present one once it is up.
+func (p *peer) connect() {
+	if p.dial != nil || p.gone {
+		return
+	}
+	p.t.count.Dials++
+	p.lastDial = p.t.cfg.Clock()
+	p.dial = &line{p: p}
+	p.dial.conn = p.t.cfg.Loop.Dial(p.server.Addr, p.dial)
+}
+
+func (l *line) Opened(*loop.Conn) {
+	p := l.p
+	now := p.t.cfg.Clock()
+	l.since, l.heard = now, now
+	if p.dial != l {
+		l.conn.Close(loop.ErrAbandoned)
+		return
+	}
+	if p.lostSince > 0 {
+		p.t.cfg.Log("server %s is in reach again", p.server.ID)
+	}
+	p.retire()
+	p.dial, p.line, p.lostSince = nil, l, 0
+	pending := p.pending
+	p.pending = nil
+	for _, leg := range pending {
+		p.invite(leg)
+	}
+}
+
+func (l *line) Closed(_ *loop.Conn, err error) {
+	p := l.p
+	now := p.t.cfg.Clock()
+	if p.dial == l {
+		p.dial = nil
+		p.t.count.DialsFailed++
+		p.lost(now)
+		if err == unix.ECONNREFUSED || err == unix.ECONNRESET {
+			p.failPending()
+		}
+		// Late: a line that is still open is one to a machine that says nothing any more.
+		if p.line != nil && now-p.line.heard > silentAfter {
+			p.t.cfg.Log("server %s is silent", p.server.ID)
+			p.retire()
+		}
+		return
+	}
+	p.t.count.Closed++
+	// What was out on it has been given up on the other side; what stands there goes on.
+	for _, leg := range p.t.legs {
+		if leg.on == l && !leg.standing {
+			p.t.end(leg, threadglade.Cut, threadglade.CauseNone)
+		}
+	}
+	if p.line == l {
+		p.line = nil
+		p.connect()
+	}
+}
+
+func (p *peer) lost(now time.Duration) {
+	if p.lostSince == 0 {
+		p.lostSince = now
+		p.t.cfg.Log("server %s is out of reach", p.server.ID)
+	}
+}
+
+func (p *peer) failPending() {
+	for _, l := range append([]*outLeg(nil), p.pending...) {
+		p.t.end(l, threadglade.Unreachable, threadglade.CauseNone)
+	}
+}
+
+// ---- router.Trunk ----
+
+// Send starts an attempt.
+func (t *Trunk) Send(a router.Attempt) {
+	p := t.peers[a.Server]
+	if p == nil || t.legs[a.ID] != nil {
+		t.router.Ended(a.ID, a.Index, threadglade.Unreachable, threadglade.CauseNone)
+		return
+	}
+	l := &outLeg{Attempt: a, p: p}
+	t.legs[a.ID] = l
+	p.legs++
+	if p.line != nil {
+		p.invite(l)
+		return
+	}
+	l.by = t.cfg.Clock() + t.cfg.ConnectTimeout
+	p.pending = append(p.pending, l)
+	t.router.At(l.by, func() {
+		if t.legs[a.ID] == l && l.on == nil {
+			t.end(l, threadglade.Unreachable, threadglade.CauseNone)
+		}
+	})
+	p.connect()
+}
+
+func (p *peer) invite(l *outLeg) {
+	t := p.t
+	now := t.cfg.Clock()
+	l.on, l.sent = p.line, now
+	t.count.Invites++
+	b := request(t.buf[:0], "INVITE", l.Number, l.ID, l.Index+1, "INVITE").head("Call-Kind", l.Class)
+	b = b.headInt("Answer-Within", max(1, int64((l.Deadline-now)/time.Millisecond))).body(l.Description)
+	t.buf = b
+	l.on.conn.Write(b)
+}
+
+// GiveUp withdraws an attempt that is unanswered.
+func (t *Trunk) GiveUp(a router.Attempt) {
+	l := t.legs[a.ID]
+	if l == nil || l.Index != a.Index {
+		return
+	}
+	t.drop(l)
+	if l.on != nil {
+		t.count.Cancels++
+		t.buf = request(t.buf[:0], "CANCEL", l.Number, l.ID, l.Index+1, "CANCEL").body(nil)
+		l.on.conn.Write(t.buf)
+	}
+}
+
+// Release ends a call that stands.
+func (t *Trunk) Release(a router.Attempt, how threadglade.Outcome) {
+	l := t.legs[a.ID]
+	if l == nil || l.Index != a.Index {
+		return
+	}
+	t.drop(l)
+	on := l.on
+	if !on.conn.Open() {
+		on = l.p.line
+	}
+	if on != nil {
+		t.count.Releases++
+		t.buf = bye(t.buf[:0], l.ID, l.Index+2, how)
+		on.conn.Write(t.buf)
+	}
+}
+
+// drop takes an attempt off the books.
+func (t *Trunk) drop(l *outLeg) {
+	delete(t.legs, l.ID)
+	l.p.legs--
+	for i, other := range l.p.pending {
+		if other == l {
+			l.p.pending = append(l.p.pending[:i], l.p.pending[i+1:]...)
+			break
+		}
+	}
+}
+
+func (t *Trunk) end(l *outLeg, how threadglade.Outcome, cause threadglade.Cause) {
+	t.drop(l)
+	t.router.Ended(l.ID, l.Index, how, cause)
+}
+
+// ---- what servers say ----
+
+func (l *line) Data(c *loop.Conn, b []byte) int {
+	t := l.p.t
+	l.heard = t.cfg.Clock()
+	n, err := parse(b, &l.m)
+	if n == 0 && err == nil {
+		return 0
+	}
+	if err != nil {
+		t.count.Malformed++
+		t.cfg.Log("server %s: %v", l.p.server.ID, err)
+		if err == errFrame {
+			c.Close(err)
+			return len(b)
+		}
+		return n
+	}
+	if len(l.m.headers) > 0 {
+		t.count.Messages++
+		l.take(&l.m)
+	}
+	return n
+}
+
+func (l *line) write(b out) {
+	l.p.t.buf = b
+	l.conn.Write(b)
+}
+
+func (l *line) take(m *message) {
+	t := l.p.t
+	switch string(m.method) {
+	case "":
+		if string(m.cmethod) == "INVITE" && m.status >= 200 {
+			l.answered(m)
+		}
+	case "NOTIFY":
+		l.state(m)
+	case "BYE":
+		l.write(reply(t.buf[:0], 200, m))
+		l.released(m)
+	case "OPTIONS":
+		l.write(reply(t.buf[:0], 200, m))
+	case "ACK":
+	default:
+		l.write(reply(t.buf[:0], 501, m))
+	}
+}
+
+// answered takes the final answer to a set-up. It is acknowledged whatever became of the attempt; one that
+// crossed our CANCEL stands on the other side and is released.
+func (l *line) answered(m *message) {
+	t := l.p.t
+	id := string(m.callID)
+	leg := t.legs[id]
+	ours := leg != nil && leg.p == l.p && leg.on != nil && leg.Index+1 == m.cseq
+	l.write(request(t.buf[:0], "ACK", id, id, m.cseq, "ACK").body(nil))
+	switch {
+	case m.status >= 300:
+		if ours && !leg.standing {
+			how, cause := outcome(m.status, m.get("fail-word"))
+			t.end(leg, how, cause)
+		}
+	case ours && !leg.standing:
+		leg.standing = true
+		t.router.Answered(id, leg.Index, m.body)
+	case ours:
+	default:
+		t.count.Crossed++
+		l.write(bye(t.buf[:0], id, m.cseq+1, threadglade.Cancelled))
+	}
+}
+
+var words = map[string]threadglade.Cause{"blocked": threadglade.CauseNoAgent, "bounced": threadglade.CauseTurnedBack,
+	"far_swamped": threadglade.CauseTurnedBack, "swamped": threadglade.CauseProcessorFull,
+	"occupied": threadglade.CauseLinesBusy}
+
+// outcome maps a refusal.
+func outcome(status int, word []byte) (threadglade.Outcome, threadglade.Cause) {
+	cause := words[string(word)]
+	switch status {
+	case 503:
+		return threadglade.Rejected, cause
+	case 480:
+		return threadglade.NotSent, cause
+	case 504:
+		return threadglade.Cut, cause
+	}
+	return threadglade.Faulted, cause
+}
+
+// released takes the end of a call that stood, by whichever connection it comes.
+func (l *line) released(m *message) {
+	t := l.p.t
+	how := threadglade.Cut
+	if causeIs16(m.get("reason")) {
+		how = threadglade.Concluded
+	}
+	id := string(m.callID)
+	leg := t.legs[id]
+	switch {
+	case leg == nil:
+		t.router.Orphan(id, how)
+	case leg.p != l.p || leg.on == nil:
+		// Another server's word on an attempt that has moved on.
+	case leg.standing:
+		t.end(leg, how, threadglade.CauseNone)
+	default:
+		t.end(leg, threadglade.Cut, threadglade.CauseNone)
+	}
+}
+
+func causeIs16(reason []byte) bool {
+	for i := 0; i+8 <= len(reason); i++ {
+		if string(reason[i:i+8]) == "cause=16" {
+			return i+8 == len(reason) || reason[i+8] < '0' || reason[i+8] > '9'
+		}
+	}
+	return false
+}
+
+// state takes a report of free agents.
+func (l *line) state(m *message) {
+	t := l.p.t
+	report := m.get("link-state")
+	free, told := field(report, t.cfg.Free)
+	total, sized := field(report, t.cfg.Total)
+	if !told || !sized {
+		free, told = field(report, "x0")
+		total, sized = field(report, "x1")
+	}
+	if told && sized {
+		t.count.States++
+		t.router.Agents(threadglade.Agents{Server: l.p.server.ID, Free: int(free), Total: int(total)})
+	}
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,576 @@
+// Package router is the core of the call router: requests, their attempts and outcomes, the timers and the
+// counters. It drives one Controller with one caller at a time, carries its actions out through a Trunk and
+// answers through the Front that a request came by. Every rule that the Controller keeps is enforced here once
+// more as a backstop: one final answer in time, one attempt at once, a bounded number of attempts, the wait
+// after an attempt that may still hold something, nothing new to a server that drains or is gone. It must never
+// know a wire, read a clock of its own, choose a server, or start a goroutine.
+package router
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"sync"
+	"time"
+
+	"threadglade.example/threadglade"
+)
+
+const (
+	// lateBy is how long after a request's deadline the router answers by itself, should the Controller not
+	// have done so. Fronts set deadlines early enough for this still to be in time.
+	lateBy = 5 * time.Millisecond
+	// drainEarly is taken off the time in which a draining server may still be sent something new: a send is
+	// counted where it arrives.
+	drainEarly = 100 * time.Millisecond
+	// rememberFor is how long an id that is over is known, so that late and repeated messages do no harm.
+	rememberFor = 30 * time.Second
+)
+
+// Clock tells the time since the Unix epoch; it never goes back.
+type Clock func() time.Duration
+
+// SystemClock is the system's Unix clock as it stood at the first call, advanced monotonically.
+func SystemClock() Clock {
+	start := time.Now()
+	return func() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
+}
+
+// Request is what a caller asks for.
+type Request struct {
+	ID          string
+	Class       string
+	Tenant      string
+	Number      string
+	Description []byte        // offered to the server, copied by the router
+	Deadline    time.Duration // by when the final answer must have been given, on the router's clock
+	Destination int           // number of the server of first choice
+	Retry       bool
+}
+
+// Attempt is a request on its way to one server, or standing there.
+type Attempt struct {
+	ID          string
+	Index       int // from 0
+	Server      string
+	Class       string
+	Number      string
+	Description []byte
+	Deadline    time.Duration // when the router gives it up
+}
+
+// Failure says why a request failed.
+type Failure int
+
+// Reasons of a failure.
+const (
+	GivenUp      Failure = iota // something may have run, and no further attempt is left
+	DeadlinePast                // the time of the request ran out
+)
+
+// Front is where a request came from. Each request gets exactly one of Stood, Refused and Failed unless its
+// caller has left, and after Stood exactly one Released unless the caller released it.
+type Front interface {
+	Stood(id string, description []byte) // the slice is only valid during the call
+	Refused(id string, retryAfter time.Duration)
+	Failed(id string, why Failure)
+	Released(id string, how threadglade.Outcome)
+}
+
+// Trunk is the way to the servers. After Send it calls Answered or Ended once, unless GiveUp came first; after
+// Answered, Ended once, unless Release came first. GiveUp and Release are final: nothing more is heard.
+type Trunk interface {
+	Send(a Attempt)
+	GiveUp(a Attempt)
+	Release(a Attempt, how threadglade.Outcome)
+}
+
+// Config is what a Router needs.
+type Config struct {
+	Settings threadglade.Settings
+	Seed     uint64
+	Clock    Clock
+	Trunk    Trunk
+	Log      func(format string, args ...any)
+	// Orphan hears of a release of a call that this router never knew: one of an earlier life. May be nil.
+	Orphan func(id string, how threadglade.Outcome)
+	// Wake is called when a timer is set that is due before all others, by whichever goroutine set it; a loop
+	// that asks Next before it waits needs none.
+	Wake func()
+}
+
+// Router carries requests. Its methods may be called from any goroutine, also from within Front and Trunk; one
+// at a time is worked on, the others wait in order.
+type Router struct {
+	cfg     Config
+	control *threadglade.Controller
+	calls   map[string]*call
+	servers map[string]*server
+	over    map[string]bool // ids that are over: whether they were answered
+	overAt  []past
+	count   Counters
+
+	mu     sync.Mutex // guards what follows
+	busy   bool
+	queue  []step
+	timers timers
+	order  uint64
+	taken  Counters // a copy of count for Counters
+}
+
+type step struct {
+	f func([]byte)
+	b []byte
+}
+
+type past struct {
+	id string
+	at time.Duration
+}
+
+type call struct {
+	Request
+	front    Front
+	attempt  Attempt
+	sent     time.Duration
+	attempts int
+	out      bool // an attempt is out and unanswered
+	standing bool
+	final    bool          // the final answer was given, or the caller has left
+	left     bool          // the caller has left unanswered
+	hold     time.Duration // no further attempt before then
+}
+
+type server struct {
+	state threadglade.ServerState
+	told  time.Duration // when it was first told to be in this state
+}
+
+// New starts a router. The error names the setting that cannot be served.
+func New(cfg Config) (*Router, error) {
+	control, err := threadglade.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Clock == nil || cfg.Trunk == nil {
+		return nil, fmt.Errorf("router: Config needs a Clock and a Trunk")
+	}
+	if cfg.Log == nil {
+		cfg.Log = func(string, ...any) {}
+	}
+	return &Router{cfg: cfg, control: control, calls: map[string]*call{}, servers: map[string]*server{},
+		over: map[string]bool{}}, nil
+}
+
+// do works f off now, or after what is being worked on; b is copied if it has to wait.
+func (r *Router) do(b []byte, f func([]byte)) {
+	r.mu.Lock()
+	if r.busy {
+		r.queue = append(r.queue, step{f, bytes.Clone(b)})
+		r.mu.Unlock()
+		return
+	}
+	r.busy = true
+	r.mu.Unlock()
+	f(b)
+	r.mu.Lock()
+	for len(r.queue) > 0 {
+		next := r.queue[0]
+		r.queue = r.queue[1:]
+		r.mu.Unlock()
+		next.f(next.b)
+		r.mu.Lock()
+	}
+	r.busy = false
+	r.taken = r.count
+	r.mu.Unlock()
+}
+
+// ---- what fronts say ----
+
+// Arrive takes a request. One whose id is known already is a repeat and is ignored; a repeat of one that was
+// withdrawn unanswered is a new request.
+func (r *Router) Arrive(front Front, req Request) {
+	req.Description = bytes.Clone(req.Description)
+	r.do(nil, func([]byte) {
+		if answered, known := r.over[req.ID]; r.calls[req.ID] != nil || known && answered {
+			r.count.Repeated++
+			return
+		}
+		now := r.cfg.Clock()
+		c := &call{Request: req, front: front}
+		r.calls[req.ID] = c
+		r.count.Requests++
+		r.at(req.Deadline+lateBy, func() { r.overdue(c) })
+		r.tell(threadglade.Arrival{Call: req.ID, Class: req.Class, Tenant: req.Tenant, Number: req.Number,
+			TimeLeft: req.Deadline - now, Destination: req.Destination, Retry: req.Retry})
+	})
+}
+
+// Leave says that the caller has given the request up: no answer is owed any more. A front that is not nil only
+// speaks for its own request.
+func (r *Router) Leave(front Front, id string) {
+	r.do(nil, func([]byte) {
+		if c := r.calls[id]; c != nil && !c.final && (front == nil || front == c.front) {
+			r.count.Left++
+			c.left = true
+			r.leave(c)
+		}
+	})
+}
+
+// Release says that the caller has released a standing call.
+func (r *Router) Release(id string) {
+	r.do(nil, func([]byte) {
+		if c := r.calls[id]; c != nil && c.standing {
+			r.count.CallerReleases++
+			r.cfg.Trunk.Release(c.attempt, threadglade.Cancelled)
+			r.end(c, threadglade.Cancelled, threadglade.CauseNone, false)
+		}
+	})
+}
+
+func (r *Router) leave(c *call) {
+	c.final = true
+	r.tell(threadglade.CallerGone{Call: c.ID})
+	if c.out {
+		r.cfg.Trunk.GiveUp(c.attempt)
+		r.end(c, threadglade.Cancelled, threadglade.CauseNone, false)
+	}
+	r.forget(c)
+}
+
+// overdue is the backstop of the first rule: the Controller answers in time, and if it does not, the router
+// does.
+func (r *Router) overdue(c *call) {
+	if c.final {
+		return
+	}
+	r.count.Overdue++
+	r.cfg.Log("request %s: no answer by its deadline, failed here", c.ID)
+	c.front.Failed(c.ID, DeadlinePast)
+	r.leave(c)
+}
+
+// ---- what trunks and the server list say ----
+
+// List takes the server list or a change of it.
+func (r *Router) List(list threadglade.ServerList) {
+	r.do(nil, func([]byte) {
+		now, named := r.cfg.Clock(), map[string]bool{}
+		for _, s := range list.Servers {
+			named[s.ID] = true
+			r.listed(s.ID, s.State, now)
+		}
+		for id := range r.servers {
+			if !list.Delta && !list.Failed && !named[id] {
+				r.listed(id, threadglade.Removed, now)
+			}
+		}
+		r.count.Lists++
+		r.tell(list)
+	})
+}
+
+func (r *Router) listed(id string, state threadglade.ServerState, now time.Duration) {
+	s := r.servers[id]
+	if s == nil {
+		s = &server{told: now}
+		r.servers[id] = s
+	}
+	// From draining to gone the first word counts.
+	if s.state == threadglade.Up || state == threadglade.Up {
+		s.told = now
+	}
+	s.state = state
+}
+
+// Agents takes a server's free agents.
+func (r *Router) Agents(a threadglade.Agents) { r.do(nil, func([]byte) { r.tell(a) }) }
+
+// Answered says that a server has answered an attempt: the call stands.
+func (r *Router) Answered(id string, index int, description []byte) {
+	r.do(description, func(b []byte) {
+		c := r.calls[id]
+		if c == nil || !c.out || c.attempt.Index != index {
+			return
+		}
+		c.out, c.standing, c.final = false, true, true
+		c.Description, c.attempt.Description = nil, nil
+		r.count.Stood++
+		c.front.Stood(id, b)
+		r.tell(threadglade.Stood{Call: id, Attempt: index, Server: c.attempt.Server, After: r.cfg.Clock() - c.sent})
+	})
+}
+
+// Ended says that an attempt has ended, answered or not.
+func (r *Router) Ended(id string, index int, how threadglade.Outcome, cause threadglade.Cause) {
+	r.do(nil, func([]byte) {
+		if c := r.calls[id]; c != nil && (c.out || c.standing) && c.attempt.Index == index {
+			r.end(c, how, cause, true)
+		}
+	})
+}
+
+// Orphan says that a server released a call that the trunk has no attempt for.
+func (r *Router) Orphan(id string, how threadglade.Outcome) {
+	r.do(nil, func([]byte) {
+		if _, known := r.over[id]; known || r.calls[id] != nil || r.cfg.Orphan == nil {
+			return
+		}
+		r.count.Orphans++
+		r.remember(id, true)
+		r.cfg.Orphan(id, how)
+	})
+}
+
+// end closes the one attempt that is out or stands. The outcome settles the request where it was final already
+// or where the call had stood, as in the simulator.
+func (r *Router) end(c *call, how threadglade.Outcome, cause threadglade.Cause, release bool) {
+	now := r.cfg.Clock()
+	if how == threadglade.TimedOut || how == threadglade.Cut || how == threadglade.Cancelled {
+		c.hold = now + r.cfg.Settings.Rules.ReleaseWait
+	}
+	r.count.Ends[how]++
+	if c.standing && release {
+		c.front.Released(c.ID, how)
+	}
+	c.out, c.standing = false, false
+	r.tell(threadglade.Ended{Call: c.ID, Attempt: c.attempt.Index, Server: c.attempt.Server, Outcome: how,
+		Cause: cause, After: now - c.sent, Settled: c.final})
+	r.forget(c)
+}
+
+func (r *Router) forget(c *call) {
+	if c.final && !c.out && !c.standing && r.calls[c.ID] == c {
+		delete(r.calls, c.ID)
+		r.remember(c.ID, !c.left)
+	}
+}
+
+func (r *Router) remember(id string, answered bool) {
+	now := r.cfg.Clock()
+	r.over[id] = answered
+	r.overAt = append(r.overAt, past{id, now})
+	for len(r.overAt) > 0 && now-r.overAt[0].at > rememberFor {
+		delete(r.over, r.overAt[0].id)
+		r.overAt = r.overAt[1:]
+	}
+}
+
+// ---- what the Controller says ----
+
+// tell hands the Controller one event and carries out what it answers.
+func (r *Router) tell(event threadglade.Event) {
+	for _, a := range r.decide(event) {
+		switch a := a.(type) {
+		case threadglade.Send:
+			r.send(a)
+		case threadglade.Refuse:
+			if c := r.answer(a.Call); c != nil {
+				r.count.Refused++
+				c.front.Refused(c.ID, a.RetryAfter)
+				r.forget(c)
+			}
+		case threadglade.Fail:
+			if c := r.answer(a.Call); c != nil {
+				r.count.Failed++
+				why := GivenUp
+				if r.cfg.Clock()+r.cfg.Settings.Rules.ReleaseWait >= c.Deadline {
+					why = DeadlinePast
+				}
+				c.front.Failed(c.ID, why)
+				r.forget(c)
+			}
+		case threadglade.SetTimer:
+			r.at(a.At, func() { r.tell(threadglade.Due{Token: a.Token}) })
+		case threadglade.Subscribe:
+			// The list is always followed: whoever owns it calls List for every change.
+		}
+	}
+}
+
+// decide keeps a fault of the Controller from ending the process: what it then leaves open is answered by
+// overdue.
+func (r *Router) decide(event threadglade.Event) (actions []threadglade.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.count.Faults++
+			r.cfg.Log("controller failed on %T: %v", event, p)
+		}
+	}()
+	return r.control.Handle(r.cfg.Clock(), event)
+}
+
+// answer marks a request as answered; nil if it was already.
+func (r *Router) answer(id string) *call {
+	c := r.calls[id]
+	if c == nil || c.final {
+		return nil
+	}
+	if c.out {
+		r.cfg.Trunk.GiveUp(c.attempt)
+		c.out = false
+	}
+	c.final = true
+	return c
+}
+
+func (r *Router) send(a threadglade.Send) {
+	c := r.calls[a.Call]
+	if c == nil || c.final || c.out {
+		r.count.Stopped++
+		r.cfg.Log("send of %s to %s stopped: the request is over or has an attempt out", a.Call, a.Server)
+		return
+	}
+	now := r.cfg.Clock()
+	deadline := c.Deadline
+	if a.Timeout != 0 {
+		deadline = min(deadline, now+a.Timeout)
+	}
+	c.attempt = Attempt{ID: c.ID, Index: c.attempts, Server: a.Server, Class: c.Class, Number: c.Number,
+		Description: c.Description, Deadline: deadline}
+	c.sent, c.out = now, true
+	c.attempts++
+	if why := r.forbidden(c, a.Server, now); why != "" {
+		r.count.Stopped++
+		r.cfg.Log("send of %s to %s stopped: %s", a.Call, a.Server, why)
+		index := c.attempt.Index
+		r.do(nil, func([]byte) {
+			if c.out && c.attempt.Index == index {
+				r.end(c, threadglade.NotSent, threadglade.CauseNone, false)
+			}
+		})
+		return
+	}
+	r.count.Attempts++
+	index := c.attempt.Index
+	r.at(deadline, func() {
+		if c.out && c.attempt.Index == index {
+			r.cfg.Trunk.GiveUp(c.attempt)
+			r.end(c, threadglade.TimedOut, threadglade.CauseNone, false)
+		}
+	})
+	r.cfg.Trunk.Send(c.attempt)
+}
+
+// forbidden names the rule that a send would break; the attempt is already counted.
+func (r *Router) forbidden(c *call, id string, now time.Duration) string {
+	s := r.servers[id]
+	switch {
+	case s == nil:
+		return "the server was never listed"
+	case s.state != threadglade.Up && now-s.told > r.cfg.Settings.Rules.DrainGrace-drainEarly:
+		return "the server drains or is gone"
+	case c.attempts > r.cfg.Settings.Limits.MaxAttempts:
+		return "no attempt is left"
+	case now < c.hold:
+		return "the last attempt may still hold something"
+	case now >= c.Deadline:
+		return "its time is up"
+	}
+	return ""
+}
+
+// Open is the number of requests that are owed an answer.
+func (r *Router) Open() (open int) {
+	r.do(nil, func([]byte) {
+		for _, c := range r.calls {
+			if !c.final {
+				open++
+			}
+		}
+	})
+	return open
+}
+
+// ---- timers ----
+
+type timer struct {
+	at    time.Duration
+	order uint64
+	f     func()
+}
+
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].order < t[j].order
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return last
+}
+
+// At has f called by Tick at a time on the router's clock or soon after.
+func (r *Router) At(at time.Duration, f func()) { r.at(at, f) }
+
+func (r *Router) at(at time.Duration, f func()) {
+	r.mu.Lock()
+	r.order++
+	first := len(r.timers) == 0 || at < r.timers[0].at
+	heap.Push(&r.timers, timer{at, r.order, f})
+	r.mu.Unlock()
+	if first && r.cfg.Wake != nil {
+		r.cfg.Wake()
+	}
+}
+
+// Next tells when Tick has something to do; false if nothing is set.
+func (r *Router) Next() (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.timers) == 0 {
+		return 0, false
+	}
+	return r.timers[0].at, true
+}
+
+// Tick does what has fallen due and returns how long nothing more will be.
+func (r *Router) Tick() time.Duration {
+	for {
+		now := r.cfg.Clock()
+		r.mu.Lock()
+		if len(r.timers) == 0 {
+			r.mu.Unlock()
+			return time.Hour
+		}
+		if wait := r.timers[0].at - now; wait > 0 {
+			r.mu.Unlock()
+			return wait
+		}
+		due := heap.Pop(&r.timers).(timer)
+		r.mu.Unlock()
+		r.do(nil, func([]byte) { due.f() })
+	}
+}
+
+// ---- counters ----
+
+// Counters count what a router has taken, sent and answered since its start.
+type Counters struct {
+	Requests, Repeated, Left, Stood, Refused, Failed, Overdue uint64
+	Attempts, Stopped, CallerReleases, Orphans, Lists, Faults uint64
+	Ends                                                      [8]uint64 // of attempts, by outcome
+}
+
+// Counters returns a copy.
+func (r *Router) Counters() Counters {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.taken
+}
+
+func (c Counters) String() string {
+	return fmt.Sprintf("requests=%d repeated=%d left=%d stood=%d refused=%d failed=%d overdue=%d attempts=%d stopped=%d "+
+		"concluded=%d faulted=%d rejected=%d timed_out=%d unreachable=%d cut=%d cancelled=%d not_sent=%d "+
+		"caller_releases=%d orphans=%d lists=%d faults=%d", c.Requests, c.Repeated, c.Left, c.Stood, c.Refused, c.Failed,
+		c.Overdue, c.Attempts, c.Stopped, c.Ends[0], c.Ends[1], c.Ends[2], c.Ends[3], c.Ends[4], c.Ends[5], c.Ends[6],
+		c.Ends[7], c.CallerReleases, c.Orphans, c.Lists, c.Faults)
+}
