Match case servers' answers by Call-ID: they always say CSeq 1

Checked: the log of refusals showed one set-up overdue at the large server for 3 s at a time, so the module barred it. Every INVITE had its answer within 50 ms, so lost answers and slow servers are ruled out; but answers to a second attempt said 'CSeq: 1 INVITE' where it had been sent as 2, and were taken for strays, acknowledged and released. Faulty lines: the comparison of Index+1 with the CSeq number in internal/sip/trunk.go (answered). Conclusion: an answer belongs to the attempt that is out for its Call-ID; a 487 only ever answers a CANCEL.

--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -333,7 +333,7 @@
 	now := t.cfg.Clock()
 	l.on, l.sent = p.line, now
 	t.count.Invites++
-	b := request(t.buf[:0], "INVITE", l.Number, l.ID, l.Index+1, "INVITE").head("Call-Kind", l.Class)
+	b := request(t.buf[:0], "INVITE", l.Number, l.ID, 1, "INVITE").head("Call-Kind", l.Class)
 	b = b.headInt("Answer-Within", max(1, int64((l.Deadline-now)/time.Millisecond))).body(l.Description)
 	t.buf = b
 	l.on.conn.Write(b)
@@ -348,7 +348,7 @@
 	t.drop(l)
 	if l.on != nil {
 		t.count.Cancels++
-		t.buf = request(t.buf[:0], "CANCEL", l.Number, l.ID, l.Index+1, "CANCEL").body(nil)
+		t.buf = request(t.buf[:0], "CANCEL", l.Number, l.ID, 1, "CANCEL").body(nil)
 		l.on.conn.Write(t.buf)
 	}
 }
@@ -366,7 +366,7 @@
 	}
 	if on != nil {
 		t.count.Releases++
-		t.buf = bye(t.buf[:0], l.ID, l.Index+2, how)
+		t.buf = bye(t.buf[:0], l.ID, 2, how)
 		on.conn.Write(t.buf)
 	}
 }
@@ -439,14 +439,16 @@
 }
 
 // answered takes the final answer to a set-up. It is acknowledged whatever became of the attempt; one that
-// crossed our CANCEL stands on the other side and is released.
+// crossed our CANCEL stands on the other side and is released. The number in CSeq tells attempts of one call
+// apart no more than the Call-ID does: case servers answer with 1 whatever they were sent.
 func (l *line) answered(m *message) {
 	t := l.p.t
 	id := string(m.callID)
 	leg := t.legs[id]
-	ours := leg != nil && leg.p == l.p && leg.on != nil && leg.Index+1 == m.cseq
+	ours := leg != nil && leg.p == l.p && leg.on != nil
 	l.write(request(t.buf[:0], "ACK", id, id, m.cseq, "ACK").body(nil))
 	switch {
+	case m.status == 487: // to an attempt that we gave up
 	case m.status >= 300:
 		if ours && !leg.standing {
 			how, cause := outcome(m.status, m.get("fail-word"))
