--- a/cmd/threadglade/main.go
+++ b/cmd/threadglade/main.go
@@ -3,12 +3,15 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
+	"threadglade.example/threadglade/internal/callcontrol"
+	"threadglade.example/threadglade/internal/identity"
 	"threadglade.example/threadglade/internal/node"
 	"threadglade.example/threadglade/router"
 )
@@ -16,11 +19,13 @@
 func main() {
 	root := &cobra.Command{Use: "threadglade", Short: "A call router between callers and case servers",
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs}
-	root.AddCommand(
-		&cobra.Command{Use: "serve", Short: "Route calls until SIGTERM", Args: cobra.NoArgs,
-			Long: "Route calls until SIGTERM. The configuration is the JSON file that NODE_CONFIG names; NODE_LISTEN,\n" +
-				"if set, overrides the address in it. SIGUSR1 prints the counters.",
-			RunE: func(*cobra.Command, []string) error { return serve() }},
+	second := ""
+	serveCmd := &cobra.Command{Use: "serve", Short: "Route calls until SIGTERM", Args: cobra.NoArgs,
+		Long: "Route calls until SIGTERM. The configuration is the JSON file that NODE_CONFIG names; NODE_LISTEN,\n" +
+			"if set, overrides the address in it. SIGUSR1 prints the counters.",
+		RunE: func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), second) }}
+	serveCmd.Flags().StringVar(&second, "callcontrol", "", "file that switches on call control over WebSocket")
+	root.AddCommand(serveCmd,
 		&cobra.Command{Use: "check", Short: "Read the configuration and say what it holds", Args: cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
 				c, err := node.LoadConfig()
@@ -34,22 +39,42 @@
 		&cobra.Command{Use: "version", Short: "Name the build", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "threadglade", version()) }},
 	)
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "threadglade:", err)
 		os.Exit(1)
 	}
 }
 
-func serve() error {
+func serve(ctx context.Context, second string) error {
+	var callers callcontrol.Config
+	var verifier *identity.Verifier
+	if second != "" {
+		var err error
+		if callers, err = callcontrol.Load(second); err != nil {
+			return err
+		}
+	}
 	c, err := node.LoadConfig()
 	if err != nil {
 		return err
 	}
 	node.Limit(c)
-	n, err := node.New(c, router.SystemClock(), node.Logger(os.Stderr, c.Name))
+	log := node.Logger(os.Stderr, c.Name)
+	n, err := node.New(c, router.SystemClock(), log)
 	if err != nil {
 		return err
 	}
+	if second != "" {
+		if verifier, err = identity.New(callers.Identity(), log); err != nil {
+			return err
+		}
+		if err = verifier.Watch(ctx, callers.WorkloadAPI); err != nil {
+			return err
+		}
+		if _, err = n.CallControl(callers, c.Settings.Classes, verifier.Verify); err != nil {
+			return err
+		}
+	}
 	n.Signals()
 	return n.Run()
 }
--- /dev/null
+++ b/internal/identity/identity.go
@@ -0,0 +1,127 @@
+// Package identity tells who speaks: it checks JWT-SVIDs against the trust bundles that the SPIFFE Workload API
+// hands out. It owns the bundles and keeps them fresh. It must never hold a private key, accept a token before
+// it has a bundle, or let anyone in who is not listed.
+package identity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/spiffe/go-spiffe/v2/bundle/jwtbundle"
+	"github.com/spiffe/go-spiffe/v2/spiffeid"
+	"github.com/spiffe/go-spiffe/v2/svid/jwtsvid"
+	"github.com/spiffe/go-spiffe/v2/workloadapi"
+)
+
+// Errors of Verify other than those of the token itself.
+var (
+	ErrNoBundle   = errors.New("no trust bundle yet")
+	ErrNotAllowed = errors.New("identity is not allowed")
+)
+
+// Caller is who a token speaks for.
+type Caller struct {
+	ID      string
+	Expires time.Time
+}
+
+// Config says whom to let in.
+type Config struct {
+	TrustDomain string
+	Audience    string
+	Allowed     []string // SPIFFE ids; one that ends in /* stands for all below it
+	WorkloadAPI string   // address of the Workload API
+}
+
+// Verifier checks tokens.
+type Verifier struct {
+	domain   spiffeid.TrustDomain
+	audience []string
+	exact    map[string]bool
+	below    []string
+	bundles  atomic.Pointer[jwtbundle.Set]
+	log      func(string, ...any)
+}
+
+// New checks the configuration. The error names the field that is wrong.
+func New(c Config, log func(string, ...any)) (*Verifier, error) {
+	v := &Verifier{exact: map[string]bool{}, log: log, audience: []string{c.Audience}}
+	var err error
+	if v.domain, err = spiffeid.TrustDomainFromString(c.TrustDomain); err != nil {
+		return nil, fmt.Errorf("trust_domain: %w", err)
+	}
+	if c.Audience == "" {
+		return nil, errors.New("audience: is empty")
+	}
+	if len(c.Allowed) == 0 {
+		return nil, errors.New("allowed_ids: is empty")
+	}
+	for _, text := range c.Allowed {
+		plain, prefix := strings.CutSuffix(text, "/*")
+		id, err := spiffeid.FromString(plain)
+		if err != nil {
+			return nil, fmt.Errorf("allowed_ids: %q: %w", text, err)
+		}
+		if !id.MemberOf(v.domain) {
+			return nil, fmt.Errorf("allowed_ids: %q is not of %s", text, v.domain)
+		}
+		if prefix {
+			v.below = append(v.below, id.String()+"/")
+		} else {
+			v.exact[id.String()] = true
+		}
+	}
+	if err := workloadapi.ValidateAddress(c.WorkloadAPI); err != nil {
+		return nil, fmt.Errorf("workload_api: %w", err)
+	}
+	return v, nil
+}
+
+// Watch follows the trust bundles until the context ends; it returns at once.
+func (v *Verifier) Watch(ctx context.Context, address string) error {
+	client, err := workloadapi.New(ctx, workloadapi.WithAddr(address))
+	if err != nil {
+		return fmt.Errorf("workload_api: %w", err)
+	}
+	go func() {
+		defer client.Close()
+		if err := client.WatchJWTBundles(ctx, v); err != nil && ctx.Err() == nil {
+			v.log("identity: the watch of the trust bundles has ended: %v", err)
+		}
+	}()
+	return nil
+}
+
+// OnJWTBundlesUpdate takes new bundles.
+func (v *Verifier) OnJWTBundlesUpdate(set *jwtbundle.Set) {
+	v.bundles.Store(set)
+	v.log("identity: trust bundles of %d domains", set.Len())
+}
+
+// OnJWTBundlesWatchError hears of trouble with the Workload API; the bundles at hand go on to serve.
+func (v *Verifier) OnJWTBundlesWatchError(err error) { v.log("identity: Workload API: %v", err) }
+
+// Verify checks a token and who it speaks for.
+func (v *Verifier) Verify(token string) (Caller, error) {
+	set := v.bundles.Load()
+	if set == nil {
+		return Caller{}, ErrNoBundle
+	}
+	svid, err := jwtsvid.ParseAndValidate(token, set, v.audience)
+	if err != nil {
+		return Caller{}, err
+	}
+	id := svid.ID.String()
+	allowed := v.exact[id]
+	for _, prefix := range v.below {
+		allowed = allowed || strings.HasPrefix(id, prefix)
+	}
+	if !allowed || !svid.ID.MemberOf(v.domain) {
+		return Caller{}, fmt.Errorf("%s: %w", id, ErrNotAllowed)
+	}
+	return Caller{ID: id, Expires: svid.Expiry}, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"threadglade.example/threadglade"
+	"threadglade.example/threadglade/internal/callcontrol"
 	"threadglade.example/threadglade/internal/loop"
 	"threadglade.example/threadglade/internal/registry"
 	"threadglade.example/threadglade/internal/sip"
@@ -135,13 +136,10 @@
 	clock  router.Clock
 	log    func(string, ...any)
 	front  *sip.Front
+	second *callcontrol.Front // nil where it is off
 	trunk  *sip.Trunk
 	names  *registry.Client
 	listen *loop.Listener
-	// More prints further counters; may be nil.
-	More func() string
-	// Owed is what else keeps the process from ending; may be nil.
-	Owed func() int
 }
 
 // Logger writes lines with the time and the router's name.
@@ -182,6 +180,17 @@
 // Addr is where callers connect.
 func (n *Node) Addr() netip.AddrPort { return n.listen.Addr() }
 
+// CallControl opens the second front and returns where it listens.
+func (n *Node) CallControl(c callcontrol.Config, classes []threadglade.Class, verify callcontrol.Verify) (netip.AddrPort, error) {
+	n.second = callcontrol.New(c, classes, n.Router, n.clock, verify, n.log)
+	listen, err := n.Loop.Listen(c.Addr, n.second.Accept)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	n.log("call control on %s", listen.Addr())
+	return listen.Addr(), nil
+}
+
 // list hands on the whole list. The router hears first: what is cut at a server that is gone is not sent there
 // again.
 func (n *Node) list(servers []sip.Server, stored bool) {
@@ -210,11 +219,10 @@
 	earliest := n.clock() + stayFor
 	var look func()
 	look = func() {
-		open := n.Router.Open()
-		if n.Owed != nil {
-			open += n.Owed()
-		}
-		if open == 0 && n.clock() >= earliest {
+		if n.Router.Open() == 0 && n.clock() >= earliest {
+			if n.second != nil {
+				n.second.Close()
+			}
 			n.Loop.Stop()
 			return
 		}
@@ -227,8 +235,8 @@
 func (n *Node) Counters() string {
 	f, t, d := n.front.Counters(), n.trunk.Counters(), n.names.Counters()
 	text := fmt.Sprintf("%v front=%+v trunk=%+v names=%+v", n.Router.Counters(), f, t, d)
-	if n.More != nil {
-		text += " " + n.More()
+	if n.second != nil {
+		text += fmt.Sprintf(" callcontrol=%+v", n.second.Counters())
 	}
 	return text
 }
