--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,6 +182,9 @@
 
 // CallControl opens the second front and returns where it listens.
 func (n *Node) CallControl(c callcontrol.Config, classes []threadglade.Class, verify callcontrol.Verify) (netip.AddrPort, error) {
+	if err := n.front.Reserve(c.Sockets); err != nil {
+		return netip.AddrPort{}, fmt.Errorf("call control: sockets: %w", err)
+	}
 	n.second = callcontrol.New(c, classes, n.Router, n.clock, verify, n.log)
 	listen, err := n.Loop.Listen(c.Addr, n.second.Accept)
 	if err != nil {
--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -209,9 +209,11 @@
 s1 expect INVITE c2
 s1 send 200 INVITE c2 Body=y
 a expect 200 INVITE c2
-wait 3s
+log "out of reach for 2s, 1 attempts cut"
 a expect BYE c1 Reason=cause=41
-wait 4s`,
+a send INVITE c3
+wait 400ms
+s1 expect silence`,
 
 	// A draining server gets nothing new; what stands there goes on until the server is gone.
 	"a server drains and goes": two + `
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -1,6 +1,7 @@
 package sip
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -44,6 +45,15 @@
 	return &Front{router: r, clock: clock, most: max(most, 1), conns: map[*caller]bool{}}
 }
 
+// Reserve leaves some of the callers' connections to another front.
+func (f *Front) Reserve(connections int) error {
+	if connections >= f.most {
+		return fmt.Errorf("%d of the %d connections that callers may hold", connections, f.most)
+	}
+	f.most -= connections
+	return nil
+}
+
 // Counters returns a copy.
 func (f *Front) Counters() FrontCounters { return f.count }
 
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -128,8 +128,7 @@
 	for id, p := range t.peers {
 		if !named[id] && !p.gone {
 			p.gone = true
-			t.cfg.Log("server %s is gone, %d attempts cut", id, p.legs)
-			p.cutAll(func(*outLeg) bool { return true })
+			t.cfg.Log("server %s is gone, %d attempts cut", id, p.cutAll(func(*outLeg) bool { return true }))
 			p.hangUp()
 			delete(t.peers, id)
 		}
@@ -185,13 +184,15 @@
 	}
 }
 
-// cutAll ends those of the peer's sent attempts that match, as if they had been reset.
-func (p *peer) cutAll(match func(*outLeg) bool) {
+// cutAll ends those of the peer's attempts that match, as if they had been reset, and counts them.
+func (p *peer) cutAll(match func(*outLeg) bool) (count int) {
 	for _, l := range p.t.legs {
 		if l.p == p && match(l) {
 			p.t.end(l, threadglade.Cut, threadglade.CauseNone)
+			count++
 		}
 	}
+	return count
 }
 
 // watch looks after every server: it redials, notices silence and gives up the calls of a dead one.
@@ -223,8 +224,10 @@
 		}
 	}
 	if p.lostSince > 0 && now-p.lostSince > deadAfter && p.legs > 0 {
-		p.t.cfg.Log("server %s has been out of reach for %v, %d attempts cut", p.server.ID, deadAfter, p.legs)
-		p.cutAll(func(l *outLeg) bool { return l.on != nil })
+		// What waits for a connection has its own, shorter time.
+		if n := p.cutAll(func(l *outLeg) bool { return l.on != nil }); n > 0 {
+			p.t.cfg.Log("server %s has been out of reach for %v, %d attempts cut", p.server.ID, deadAfter, n)
+		}
 	}
 }
 
