--- a/cmd/threadglade/main.go
+++ b/cmd/threadglade/main.go
@@ -18,7 +18,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "threadglade", Short: "A call router between callers and case servers",
-		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs}
+		SilenceUsage: true, SilenceErrors: true}
 	second := ""
 	serveCmd := &cobra.Command{Use: "serve", Short: "Route calls until SIGTERM", Args: cobra.NoArgs,
 		Long: "Route calls until SIGTERM. The configuration is the JSON file that NODE_CONFIG names; NODE_LISTEN,\n" +
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -12,6 +12,7 @@
 //	list sN[=draining|@ms]...  the name service now has this list
 //	wait DURATION            the router's clock moves on
 //	log "text"               the clock moves on until the router has logged this
+//	quiet "text"             it has not logged this since
 package scenario
 
 import (
@@ -121,6 +122,12 @@
 		w.listing, w.serial = strings.Fields(rest), w.serial+1
 		w.mu.Unlock()
 		return nil
+	case "quiet":
+		text, err := strconv.Unquote(rest)
+		if err == nil && strings.Contains(w.log()[w.seen:], text) {
+			err = errors.New("logged again")
+		}
+		return err
 	case "log":
 		want, err := strconv.Unquote(rest)
 		for stop := time.Now().Add(patience); err == nil; w.advance(5 * time.Millisecond) {
