--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -215,6 +215,23 @@
 wait 400ms
 quiet "attempts cut"`,
 
+	// A caller's release of a call whose server has no connection just now goes out on the next one.
+	"a release waits for the server": two + `
+a send INVITE c1
+s0 expect INVITE c1
+s0 send 200 INVITE c1 Body=x
+a expect 200 INVITE c1
+s0 close
+log "s0 is out of reach"
+a send BYE c1
+a expect 200 BYE c1
+s0 open number=0
+list s0 s1
+log "s0 has moved"
+s0 expect BYE c1
+wait 3s
+a expect silence`,
+
 	// A draining server gets nothing new; what stands there goes on until the server is gone.
 	"a server drains and goes": two + `
 a send INVITE c1
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -64,6 +64,7 @@
 	lastDial  time.Duration
 	lostSince time.Duration // out of reach since then; 0: in reach
 	pending   []*outLeg     // wait for a connection
+	owed      []string      // calls to be released that found no connection
 	legs      int           // attempts of it in Trunk.legs
 }
 
@@ -120,7 +121,13 @@
 		}
 		old := p.server
 		p.server, p.gone = s, false
-		if old.Started != s.Started || old.Addr != s.Addr {
+		switch {
+		case old.Addr != s.Addr:
+			t.cfg.Log("server %s has moved to %s", s.ID, s.Addr)
+			p.cutAll(func(l *outLeg) bool { return l.on != nil })
+			p.hangUp()
+			p.connect()
+		case old.Started != s.Started:
 			t.cfg.Log("server %s started anew", s.ID)
 			p.restarted(s.Started)
 		}
@@ -260,6 +267,16 @@
 	for _, leg := range pending {
 		p.invite(leg)
 	}
+	owed := p.owed
+	p.owed = nil
+	for _, id := range owed {
+		l.release(id)
+	}
+}
+
+func (l *line) release(id string) {
+	l.p.t.count.Releases++
+	l.write(bye(l.p.t.buf[:0], id, 2, threadglade.Cancelled))
 }
 
 func (l *line) Closed(_ *loop.Conn, err error) {
@@ -357,7 +374,7 @@
 }
 
 // Release ends a call that stands.
-func (t *Trunk) Release(a router.Attempt, how threadglade.Outcome) {
+func (t *Trunk) Release(a router.Attempt, _ threadglade.Outcome) {
 	l := t.legs[a.ID]
 	if l == nil || l.Index != a.Index {
 		return
@@ -367,11 +384,11 @@
 	if !on.conn.Open() {
 		on = l.p.line
 	}
-	if on != nil {
-		t.count.Releases++
-		t.buf = bye(t.buf[:0], l.ID, 2, how)
-		on.conn.Write(t.buf)
+	if on == nil {
+		l.p.owed = append(l.p.owed, l.ID)
+		return
 	}
+	on.release(l.ID)
 }
 
 // drop takes an attempt off the books.
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -185,7 +185,7 @@
 				switch {
 				case v.attempt != nil:
 					if last != nil && r.ContentLength != 0 {
-						last.release() // its body is spent: what the first attempt said is final
+						last.finish() // its body is spent: what the first attempt said is final
 						return
 					}
 					last = c.attempt(k, v.attempt, w, r, next)
@@ -196,8 +196,8 @@
 					w.Header().Set("Retry-After", strconv.Itoa(max(1, int((v.retryAfter+time.Second-1)/time.Second))))
 					http.Error(w, "refused", http.StatusServiceUnavailable)
 					return
-				case last != nil && last.status != 0:
-					last.release()
+				case last != nil && last.status >= 500:
+					last.finish()
 					return
 				case v.why == router.DeadlinePast:
 					http.Error(w, "no server answered in time", http.StatusGatewayTimeout)
@@ -221,7 +221,13 @@
 		cancel()
 	}
 	k.mu.Unlock()
-	rec := &recorder{w: w, header: http.Header{}, answered: func() { c.router.Answered(a.ID, a.Index, nil) }}
+	rec := &recorder{w: w, header: http.Header{}, answered: func() bool {
+		if ctx.Err() != nil { // given up: what comes now is nobody's answer
+			return false
+		}
+		c.router.Answered(a.ID, a.Index, nil)
+		return true
+	}}
 	clean := false
 	defer func() {
 		if !clean { // a panic goes on to the server, the core hears of it
@@ -264,7 +270,7 @@
 	status   int
 	passed   bool
 	held     bytes.Buffer
-	answered func()
+	answered func() bool
 }
 
 func (r *recorder) Header() http.Header { return r.header }
@@ -273,8 +279,7 @@
 	if r.status != 0 || status < 200 {
 		return
 	}
-	if r.status = status; status < 500 {
-		r.answered()
+	if r.status = status; status < 500 && r.answered() {
 		r.release()
 	}
 }
@@ -297,6 +302,15 @@
 	}
 }
 
+// finish makes a held response final; 504 where the handler made none that counts.
+func (r *recorder) finish() {
+	if r.status < 500 {
+		http.Error(r.w, "no server answered in time", http.StatusGatewayTimeout)
+		return
+	}
+	r.release()
+}
+
 // release writes out the response.
 func (r *recorder) release() {
 	r.passed = true
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -101,11 +101,13 @@
 	url, tick, core := start(t, func(w http.ResponseWriter, r *http.Request) {
 		running <- true
 		<-r.Context().Done()
+		io.WriteString(w, "late")
 		left <- true
 	})
 	go func() { <-running; tick(2 * time.Second) }()
-	status, _, _ := fetch(t, "GET", url+"/a", "")
+	status, text, _ := fetch(t, "GET", url+"/a", "")
 	require.Equal(t, 504, status)
+	require.NotContains(t, text, "late")
 	<-left
 	require.EqualValues(t, 1, core.Counters().Ends[threadglade.TimedOut])
 
