Give attempts at a silent machine up on the wire when their wait begins

Checked: n0's log has the attempts cut at 21.40 s by its clock and the module sent again 200 ms later, so the module and the router's backstop are ruled out. Faulty lines: peer.cutAll and Trunk.GiveUp in internal/sip/trunk.go. Both now cancel and close what nothing is on any more at once. A scenario has it; without the fix it fails. Also: callers' releases of calls from before a restart go to the servers; older lists are logged; a foreign WebSocket client against the second front.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,7 +159,8 @@
 	n.trunk = sip.NewTrunk(sip.TrunkConfig{Loop: l, Clock: clock, ConnectTimeout: c.ConnectTimeout, Free: c.Free,
 		Total: c.Total, Log: log})
 	n.Router, err = router.New(router.Config{Settings: c.Settings, Seed: c.Seed, Clock: clock, Trunk: n.trunk, Log: log,
-		Orphan: func(id string, how threadglade.Outcome) { n.front.Orphan(id, how) }})
+		Orphan: func(id string, how threadglade.Outcome) { n.front.Orphan(id, how) },
+		Stray:  n.trunk.ReleaseAnywhere})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -90,7 +90,8 @@
 	socket  *loop.Packets
 	serial  uint32
 	id      uint16
-	waiting int // queries since the last answer
+	waiting int    // queries since the last answer
+	old     uint32 // serial of the latest answer that was older than what is known
 	count   Counters
 }
 
@@ -139,6 +140,10 @@
 	if int32(serial-c.serial) <= 0 {
 		if serial != c.serial {
 			c.count.Old++
+			if c.old != serial {
+				c.log("name service: list %d came after %d, not taken", serial, c.serial)
+			}
+			c.old = serial
 		}
 		return
 	}
--- a/internal/scenario/callcontrol_test.go
+++ b/internal/scenario/callcontrol_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/coder/websocket"
 	"github.com/stretchr/testify/require"
 )
 
@@ -309,14 +312,7 @@
 	"a dead client":               desk + "wait 20s\nw1 expect ping\nwait 25s\nw1 expect closed",
 }
 
-func TestCallControl(t *testing.T) {
-	for name, script := range webScenarios {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			play(t, script)
-		})
-	}
-}
+func TestCallControl(t *testing.T) { playAll(t, webScenarios) }
 
 // Wrong tokens and foreign pages do not get in.
 func TestTurnedAway(t *testing.T) {
@@ -324,3 +320,24 @@
 	require.ErrorContains(t, w.do("w2 open id=thief"), "401")
 	require.ErrorContains(t, w.do("w3 open id=desk1 origin=https://elsewhere.example"), "403")
 }
+
+// TestOtherClient has a client that is not of this repository speak to the front: the codec is the protocol and not
+// just our reading of it.
+func TestOtherClient(t *testing.T) {
+	w := play(t, desk)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c, _, err := websocket.Dial(ctx, "ws://"+w.second.String()+"/", &websocket.DialOptions{
+		Subprotocols: []string{"callcontrol.v1", "bearer.desk9"}, HTTPHeader: http.Header{"Origin": {"https://desk.example"}}})
+	require.NoError(t, err)
+	require.Equal(t, "callcontrol.v1", c.Subprotocol())
+	require.NoError(t, c.Write(ctx, websocket.MessageText, []byte(`{"jsonrpc":"2.0","id":1,"method":"call.place","params":{"class":"voice",`+
+		`"number":"4711","destination":0,"answerWithinMs":3000,"description":"`+strings.Repeat("d", 5000)+`"}}`)))
+	_, text, err := c.Read(ctx)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "call.placed")
+	require.NoError(t, w.do("s0 expect INVITE Body="+strings.Repeat("d", 5000)))
+	go c.Read(ctx) // answers the ping
+	require.NoError(t, c.Ping(ctx))
+	require.NoError(t, c.Close(websocket.StatusNormalClosure, "done"))
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -4,12 +4,12 @@
 // luck: every expect waits for an event, and time in the router passes only in wait.
 //
 //	start [flags]            start the router with the servers opened so far
-//	NAME open [number=N]     sN: a case server listens; others: a caller connects; wN: a WebSocket (id=, origin=)
+//	NAME open [number=N at=sM] sN: a case server listens; others: a caller connects; wN: a WebSocket (id=, origin=)
 //	NAME send MESSAGE        SIP: METHOD or STATUS METHOD, call or #id, Header=Value..., Body=text; wN: JSON
 //	NAME raw "text"          these bytes (Go syntax)
 //	NAME expect MESSAGE      the next message is this one; values match as parts; "silence", "closed"
 //	NAME close               end the connection; sN: and the listener; "sN hang": the machine vanishes
-//	list sN[=draining|@ms]...  the name service now has this list
+//	list [serial=N] sN[=draining|@ms]...  the name service now has this list
 //	wait DURATION            the router's clock moves on
 //	log "text"               the clock moves on until the router has logged this
 //	quiet "text"             it has not logged this since
@@ -84,6 +84,15 @@
 	return w
 }
 
+func playAll(t *testing.T, scripts map[string]string) {
+	for name, script := range scripts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play(t, script)
+		})
+	}
+}
+
 func (w *world) end() {
 	w.names.Close()
 	for _, p := range w.peers {
@@ -120,6 +129,9 @@
 	case "list":
 		w.mu.Lock()
 		w.listing, w.serial = strings.Fields(rest), w.serial+1
+		if n, _ := fmt.Sscanf(rest, "serial=%d", &w.serial); n == 1 {
+			w.listing = w.listing[1:]
+		}
 		w.mu.Unlock()
 		return nil
 	case "quiet":
@@ -319,7 +331,11 @@
 func (p *peer) open(args string) (err error) {
 	fmt.Sscanf(args, "number=%d", &p.number)
 	if p.name[0] == 's' {
-		if p.listener, err = net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}); err == nil {
+		at := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}
+		if _, other, ok := strings.Cut(args, "at="); ok {
+			at = p.w.peers[other].listener.Addr().(*net.TCPAddr)
+		}
+		if p.listener, err = net.ListenTCP("tcp4", at); err == nil {
 			go p.accept(p.listener)
 		}
 		return err
--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -21,6 +22,16 @@
 a open
 `
 
+// stands is two with a call that stands at the first server.
+const stands = two + `
+a send INVITE c1
+s0 expect INVITE c1
+s0 send 200 INVITE c1 Body=x
+a expect 200 INVITE c1 Body=x
+`
+
+var large = strings.Repeat("x", 15<<10)
+
 var scenarios = map[string]string{
 	// Id, class, number called and description pass unchanged both ways, and the call ends once.
 	"a call stands and ends": open + `
@@ -161,11 +172,7 @@
 s0 expect CANCEL c2`,
 
 	// With no caller connected the release waits for the next one.
-	"a release waits for a connection": open + `
-a send INVITE c1
-s0 expect INVITE c1
-s0 send 200 INVITE c1 Body=x
-a expect 200 INVITE c1
+	"a release waits for a connection": stands + `
 a close
 s0 send BYE c1 Reason=Q.850;cause=41
 s0 expect 200 BYE c1
@@ -183,11 +190,7 @@
 
 	// A refused connection proves that nothing ran: the call moves on at once; a process that died has cut its
 	// calls.
-	"a dead server": two + `
-a send INVITE c1
-s0 expect INVITE c1
-s0 send 200 INVITE c1 Body=x
-a expect 200 INVITE c1
+	"a dead server": stands + `
 s0 close
 log "s0 is out of reach"
 a send INVITE c2
@@ -197,11 +200,7 @@
 
 	// A machine that vanishes leaves its connections open: it is noticed by its silence, its calls are released
 	// within 8 s, and what is sent to it finds no connection in time instead of waiting for the deadline.
-	"a silent machine": two + `
-a send INVITE c1
-s0 expect INVITE c1
-s0 send 200 INVITE c1 Body=x
-a expect 200 INVITE c1
+	"a silent machine": stands + `
 s0 hang
 log "s0 is silent"
 a send INVITE c2
@@ -216,11 +215,7 @@
 quiet "attempts cut"`,
 
 	// A caller's release of a call whose server has no connection just now goes out on the next one.
-	"a release waits for the server": two + `
-a send INVITE c1
-s0 expect INVITE c1
-s0 send 200 INVITE c1 Body=x
-a expect 200 INVITE c1
+	"a release waits for the server": stands + `
 s0 close
 log "s0 is out of reach"
 a send BYE c1
@@ -232,12 +227,23 @@
 wait 3s
 a expect silence`,
 
+	// What waits at a silent machine is given up on the wire, by CANCEL and by the end of the connection, in the moment
+	// in which the 200 ms begin: the connection was once closed 100 ms later, and the next attempt came too soon.
+	"an attempt at a silent machine": stands + `
+a send INVITE c2 Answer-Within=9000
+s0 expect INVITE c2
+s0 hang
+log "out of reach for 2s, 2 attempts cut"
+s0 expect CANCEL c2
+s0 expect closed
+a expect BYE c1 Reason=cause=41
+wait 190ms
+s1 expect silence
+wait 20ms
+s1 expect INVITE c2`,
+
 	// A draining server gets nothing new; what stands there goes on until the server is gone.
-	"a server drains and goes": two + `
-a send INVITE c1
-s0 expect INVITE c1
-s0 send 200 INVITE c1 Body=x
-a expect 200 INVITE c1
+	"a server drains and goes": stands + `
 list s0=draining s1
 log "list: server s0 number 0 state 1"
 a send INVITE c2
@@ -247,23 +253,50 @@
 a expect BYE c1 Reason=cause=41`,
 
 	// A new start time means that the process is another one: what stood at the old one is over.
-	"a server starts anew": two + `
-a send INVITE c1
-s0 expect INVITE c1
-s0 send 200 INVITE c1 Body=x
-a expect 200 INVITE c1
+	"a server starts anew": stands + `
 wait 1s
 list s0@1700000000900 s1
 log "server s0 started anew"
 a expect BYE c1 Reason=cause=41
 s0 expect closed`,
 
-	// Servers are their ids: one that takes the address of another gets none of its calls.
+	// Servers are their ids: one that takes the address of another has none of its calls.
+	"an address is used again": stands + `
+s0 close
+s2 open number=0 at=s0
+list s2 s1
+log "server s0 is gone, 1 attempts cut"
+a expect BYE c1 Reason=cause=41
+a send INVITE c2
+s2 expect INVITE c2
+s2 send BYE c1 Reason=Q.850;cause=16
+s2 expect 200 BYE c1
+a expect silence`,
+
+	// Answers of the name service may come out of order: an older list changes nothing.
 	"an old list does not come back": two + `
 list s0 s1=draining
 log "list: server s1 number 1 state 1"
-list s0 s1
-log "list: server s1 number 1 state 0"`,
+list serial=3 s0 s1
+log "list 3 came after 8, not taken"
+a send INVITE c1 Routing-Data=dest:1;width:1;via:-1
+s0 expect INVITE c1`,
+
+	// A caller may release a call that stood before a restart: whichever server has it hears of it, once.
+	"a caller's release of an earlier life": two + `
+s0 expect silence
+s1 expect silence
+a send BYE old
+a send BYE old
+a expect 200 BYE old
+s0 expect BYE old
+s1 expect BYE old
+s0 expect silence`,
+
+	// A description may take most of a message, and a message of more than 16 KiB ends the connection.
+	"large messages": open + "a send INVITE c1 Body=" + large + "\ns0 expect INVITE c1 Body=" + large +
+		"\na send INVITE c2 Body=" + large + large + "\na expect 400 INVITE c2\na expect closed" +
+		"\nb open\nb raw \"INVITE " + large + large + "\"\nb expect closed",
 
 	// Messages come in pieces and several at once.
 	"fragments and pipelines": open + `
@@ -329,14 +362,7 @@
 a expect 200 INVITE c1`,
 }
 
-func TestSIP(t *testing.T) {
-	for name, script := range scenarios {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			play(t, script)
-		})
-	}
-}
+func TestSIP(t *testing.T) { playAll(t, scenarios) }
 
 // At SIGTERM the router goes on accepting and answering, ends no sooner than 0.7 s later and not before all is
 // answered.
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -195,7 +195,9 @@
 		k.f.router.Leave(nil, id)
 	case "BYE":
 		k.answer(reply(k.f.buf[:0], 200, m))
-		k.f.router.Release(string(m.callID))
+		if hexID(m.callID) {
+			k.f.router.Release(string(m.callID))
+		}
 	case "OPTIONS":
 		k.answer(reply(k.f.buf[:0], 200, m))
 	default:
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -191,14 +191,17 @@
 	}
 }
 
-// cutAll ends those of the peer's attempts that match, as if they had been reset, and counts them.
+// cutAll ends those of the peer's attempts that match, as if they had been reset, and counts them. What is
+// unanswered is given up on the wire in the same moment, for the wait before the next attempt begins now.
 func (p *peer) cutAll(match func(*outLeg) bool) (count int) {
 	for _, l := range p.t.legs {
 		if l.p == p && match(l) {
+			p.t.cancel(l)
 			p.t.end(l, threadglade.Cut, threadglade.CauseNone)
 			count++
 		}
 	}
+	p.tidy()
 	return count
 }
 
@@ -366,7 +369,13 @@
 		return
 	}
 	t.drop(l)
-	if l.on != nil {
+	t.cancel(l)
+	l.p.tidy()
+}
+
+// cancel gives an unanswered attempt up on its line.
+func (t *Trunk) cancel(l *outLeg) {
+	if l.on != nil && !l.standing && l.on.conn.Open() {
 		t.count.Cancels++
 		t.buf = request(t.buf[:0], "CANCEL", l.Number, l.ID, 1, "CANCEL").body(nil)
 		l.on.conn.Write(t.buf)
@@ -391,6 +400,16 @@
 	on.release(l.ID)
 }
 
+// ReleaseAnywhere releases a call that may stand at any server: one of an earlier life of this router. Servers that
+// do not know it have nothing to release.
+func (t *Trunk) ReleaseAnywhere(id string) {
+	for _, p := range t.peers {
+		if p.line != nil {
+			p.line.release(id)
+		}
+	}
+}
+
 // drop takes an attempt off the books.
 func (t *Trunk) drop(l *outLeg) {
 	delete(t.legs, l.ID)
--- a/router/router.go
+++ b/router/router.go
@@ -95,6 +95,8 @@
 	Log      func(format string, args ...any)
 	// Orphan hears of a release of a call that this router never knew: one of an earlier life. May be nil.
 	Orphan func(id string, how threadglade.Outcome)
+	// Stray hears of a caller's release of a call that this router never knew. May be nil.
+	Stray func(id string)
 	// Wake is called when a timer is set that is due before all others, by whichever goroutine set it; a loop
 	// that asks Next before it waits needs none.
 	Wake func()
@@ -222,14 +224,21 @@
 	})
 }
 
-// Release says that the caller has released a standing call.
+// Release says that the caller has released a standing call. One that this router never knew is of an earlier
+// life and is handed to Stray, once.
 func (r *Router) Release(id string) {
 	r.do(nil, func([]byte) {
-		if c := r.calls[id]; c != nil && c.standing {
+		c := r.calls[id]
+		if c != nil && c.standing {
 			r.count.CallerReleases++
 			r.cfg.Trunk.Release(c.attempt, threadglade.Cancelled)
 			r.end(c, threadglade.Cancelled, threadglade.CauseNone, false)
 		}
+		if _, known := r.over[id]; !known && c == nil && r.cfg.Stray != nil {
+			r.count.Orphans++
+			r.remember(id, true)
+			r.cfg.Stray(id)
+		}
 	})
 }
 
