--- a/internal/scenario/callcontrol_test.go
+++ b/internal/scenario/callcontrol_test.go
@@ -12,9 +12,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/stretchr/testify/require"
+
+	"threadglade.example/threadglade/internal/identity"
+	"threadglade.example/threadglade/internal/identity/identitytest"
 )
 
 // wsMessage is one frame as the client saw it.
@@ -341,3 +345,33 @@
 	require.NoError(t, c.Ping(ctx))
 	require.NoError(t, c.Close(websocket.StatusNormalClosure, "done"))
 }
+
+// The whole door, with real tokens: none opens it before the Workload API has handed out a bundle, the right one
+// does then, and an expired one, one for somebody else or none at all gets 401.
+func TestSPIFFE(t *testing.T) {
+	api, k, updated := identitytest.New(t), identitytest.Key(t), make(chan bool, 9)
+	id := "spiffe://" + identitytest.Domain + "/desk/7"
+	v, err := identity.New(identity.Config{TrustDomain: identitytest.Domain, Audience: "threadglade", WorkloadAPI: api.Address,
+		Allowed: []string{id}}, func(string, ...any) { updated <- true })
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	require.NoError(t, v.Watch(ctx, api.Address))
+	w := play(t, "s0 open number=0")
+	w.check = v.Verify
+	require.NoError(t, w.do("start callcontrol"))
+	good := identitytest.Token(t, k, id, "threadglade", time.Now().Add(time.Hour))
+	require.ErrorContains(t, w.do("w0 open id="+good), "503")
+	api.Bundles <- identitytest.Bundle(t, k)
+	<-updated
+	require.NoError(t, w.do("w1 open id="+good))
+	require.NoError(t, w.do("w1 expect silence"))
+	require.NoError(t, w.do("w2 open origin=https://desk.example id="+good))
+	for name, bad := range map[string]string{
+		"expired": identitytest.Token(t, k, id, "threadglade", time.Now().Add(-time.Hour)),
+		"other":   identitytest.Token(t, k, id+"7", "threadglade", time.Now().Add(time.Hour)),
+		"none":    "",
+	} {
+		require.ErrorContains(t, w.do("w3 open id="+bad), "401", name)
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -66,12 +66,14 @@
 	serial  uint32
 	listing []string
 	second  netip.AddrPort
+	check   callcontrol.Verify
 }
 
 func play(t *testing.T, script string) *world {
 	t.Helper()
 	w := &world{t: t, peers: map[string]*peer{}, vars: map[string]string{}, ended: make(chan error, 1), serial: 7}
 	w.clock.Store(int64(1_700_000_000) * int64(time.Second))
+	w.check = w.verify
 	var err error
 	w.names, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
@@ -228,7 +230,7 @@
 	}
 	if strings.Contains(flags, "callcontrol") {
 		w.second, err = w.node.CallControl(callcontrol.Config{Addr: netip.MustParseAddrPort("127.0.0.1:0"), GraceMs: 1000,
-			Sockets: 9, Origins: []string{"https://desk.example"}}, c.Settings.Classes, w.verify)
+			Sockets: 9, Origins: []string{"https://desk.example"}}, c.Settings.Classes, w.check)
 	}
 	go w.answerNames()
 	go func() { w.ended <- w.node.Run() }()
