Read the configuration anew at SIGHUP and follow the new name service at once

Checked: the logs end without a line at SIGHUP. At fault: node.Signals, which never asked for SIGHUP; registry.Follow, which held one socket for good. Now: node.Apply moves the name service (registry.Client.Move) and the limits; list serials go on, a bad file is logged and changes nothing, fields that cannot change are named. Call control's file and identities are read anew too.

--- a/cmd/threadglade/main.go
+++ b/cmd/threadglade/main.go
@@ -74,6 +74,17 @@
 		if _, err = n.CallControl(callers, c.Settings.Classes, verifier.Verify); err != nil {
 			return err
 		}
+		n.Reload = func() error {
+			callers, err := callcontrol.Load(second)
+			if err != nil {
+				return err
+			}
+			if err := verifier.Reconfigure(callers.Identity()); err != nil {
+				return err
+			}
+			n.ReloadCallControl(callers)
+			return nil
+		}
 	}
 	n.Signals()
 	return n.Run()
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -39,17 +39,36 @@
 
 // Verifier checks tokens.
 type Verifier struct {
+	policy  atomic.Pointer[policy]
+	bundles atomic.Pointer[jwtbundle.Set]
+	log     func(string, ...any)
+}
+
+// policy says whom to let in.
+type policy struct {
 	domain   spiffeid.TrustDomain
 	audience []string
 	exact    map[string]bool
 	below    []string
-	bundles  atomic.Pointer[jwtbundle.Set]
-	log      func(string, ...any)
 }
 
 // New checks the configuration. The error names the field that is wrong.
 func New(c Config, log func(string, ...any)) (*Verifier, error) {
-	v := &Verifier{exact: map[string]bool{}, log: log, audience: []string{c.Audience}}
+	v := &Verifier{log: log}
+	return v, v.Reconfigure(c)
+}
+
+// Reconfigure changes who is let in; a wrong configuration changes nothing. The Workload API stays that of Watch.
+func (v *Verifier) Reconfigure(c Config) error {
+	p, err := newPolicy(c)
+	if err == nil {
+		v.policy.Store(p)
+	}
+	return err
+}
+
+func newPolicy(c Config) (*policy, error) {
+	v := &policy{exact: map[string]bool{}, audience: []string{c.Audience}}
 	var err error
 	if v.domain, err = spiffeid.TrustDomainFromString(c.TrustDomain); err != nil {
 		return nil, fmt.Errorf("trust_domain: %w", err)
@@ -107,20 +126,20 @@
 
 // Verify checks a token and who it speaks for.
 func (v *Verifier) Verify(token string) (Caller, error) {
-	set := v.bundles.Load()
+	set, p := v.bundles.Load(), v.policy.Load()
 	if set == nil {
 		return Caller{}, ErrNoBundle
 	}
-	svid, err := jwtsvid.ParseAndValidate(token, set, v.audience)
+	svid, err := jwtsvid.ParseAndValidate(token, set, p.audience)
 	if err != nil {
 		return Caller{}, err
 	}
 	id := svid.ID.String()
-	allowed := v.exact[id]
-	for _, prefix := range v.below {
+	allowed := p.exact[id]
+	for _, prefix := range p.below {
 		allowed = allowed || strings.HasPrefix(id, prefix)
 	}
-	if !allowed || !svid.ID.MemberOf(v.domain) {
+	if !allowed || !svid.ID.MemberOf(p.domain) {
 		return Caller{}, fmt.Errorf("%s: %w", id, ErrNotAllowed)
 	}
 	return Caller{ID: id, Expires: svid.Expiry}, nil
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -51,6 +51,16 @@
 		require.Error(t, err, name)
 	}
 
+	// A configuration read anew decides from now on; a bad one changes nothing.
+	ops := Config{TrustDomain: "branch.example", Audience: "threadglade", WorkloadAPI: address, Allowed: []string{"spiffe://other.example/x"}}
+	require.ErrorContains(t, v.Reconfigure(ops), "allowed_ids")
+	_, err = v.Verify(good)
+	require.NoError(t, err)
+	ops.Allowed = []string{"spiffe://branch.example/ops"}
+	require.NoError(t, v.Reconfigure(ops))
+	_, err = v.Verify(good)
+	require.ErrorIs(t, err, ErrNotAllowed)
+
 	api.Bundles <- identitytest.Bundle(t, identitytest.Key(t)) // the authority is replaced
 	<-updated
 	_, err = v.Verify(good)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -421,6 +421,9 @@
 
 func (p *Packets) ready(uint32) {
 	for range batch {
+		if p.l.sources[int32(p.fd)] != p { // closed by what it was told
+			return
+		}
 		n, err := unix.Read(p.fd, p.buf)
 		if err == unix.EAGAIN {
 			return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -133,6 +134,9 @@
 type Node struct {
 	Loop   *loop.Loop
 	Router *router.Router
+	// Reload, if set, reads the configuration of what was added to the node anew; it runs on the loop.
+	Reload func() error
+	config Config
 	clock  router.Clock
 	log    func(string, ...any)
 	front  *sip.Front
@@ -155,7 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{Loop: l, clock: clock, log: log}
+	n := &Node{Loop: l, clock: clock, log: log, config: c}
 	n.trunk = sip.NewTrunk(sip.TrunkConfig{Loop: l, Clock: clock, ConnectTimeout: c.ConnectTimeout, Free: c.Free,
 		Total: c.Total, Log: log})
 	n.Router, err = router.New(router.Config{Settings: c.Settings, Seed: c.Seed, Clock: clock, Trunk: n.trunk, Log: log,
@@ -195,6 +199,9 @@
 	return listen.Addr(), nil
 }
 
+// ReloadCallControl takes the second front's file anew; it is for Reload.
+func (n *Node) ReloadCallControl(c callcontrol.Config) { n.second.Reconfigure(c) }
+
 // list hands on the whole list. The router hears first: what is cut at a server that is gone is not sent there
 // again.
 func (n *Node) list(servers []sip.Server, stored bool) {
@@ -235,6 +242,50 @@
 	look()
 }
 
+// Apply takes a configuration that was read anew. The name service is followed to its new address at once and the
+// list goes on by its number; limits hold from now on. Calls, servers and connections stay as they are, and
+// what a running router cannot change is named in the log and waits for the next start.
+func (n *Node) Apply(c Config) error {
+	if n.Reload != nil {
+		if err := n.Reload(); err != nil {
+			return err
+		}
+	}
+	if err := n.names.Move(c.Resolver); err != nil {
+		return err
+	}
+	n.names.Known(c.Cursor, c.Servers)
+	reserved := 0
+	if n.second != nil {
+		reserved = n.second.Sockets()
+	}
+	n.front.Hold(c.Sockets/callerPart - reserved)
+	old := n.config
+	for name, same := range map[string]bool{"name": c.Name == old.Name, "listen": c.Listen == old.Listen,
+		"seed": c.Seed == old.Seed, "settings": reflect.DeepEqual(c.Settings, old.Settings) &&
+			c.ConnectTimeout == old.ConnectTimeout && c.Free == old.Free && c.Total == old.Total} {
+		if !same {
+			n.log("configuration: %s has changed, which takes a restart", name)
+		}
+	}
+	// What cannot change now is compared with what is in force the next time, too.
+	n.config.Resolver, n.config.MemoryMB, n.config.Sockets = c.Resolver, c.MemoryMB, c.Sockets
+	n.log("configuration read anew: name service %s, %d MB, %d sockets", c.Resolver, c.MemoryMB, c.Sockets)
+	return nil
+}
+
+// reload reads the configuration that the environment names; a bad one is logged, and the old one stays.
+func (n *Node) reload() {
+	c, err := LoadConfig()
+	if err == nil {
+		Limit(c)
+		err = n.Apply(c)
+	}
+	if err != nil {
+		n.log("configuration not taken, the old one stays: %v", err)
+	}
+}
+
 // Counters prints all counters on one line.
 func (n *Node) Counters() string {
 	f, t, d := n.front.Counters(), n.trunk.Counters(), n.names.Counters()
@@ -253,16 +304,18 @@
 	}
 }
 
-// Signals has SIGTERM and SIGINT end the node and SIGUSR1 print the counters.
+// Signals has SIGTERM and SIGINT end the node, SIGHUP read the configuration anew and SIGUSR1 print the counters.
 func (n *Node) Signals() {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	go func() {
 		ending := false
 		for s := range signals {
 			switch {
 			case s == syscall.SIGUSR1:
 				n.Loop.Post(func() { n.log("counters %s", n.Counters()) })
+			case s == syscall.SIGHUP:
+				n.Loop.Post(n.reload)
 			case !ending:
 				ending = true
 				n.Loop.Post(n.Shutdown)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -83,6 +83,8 @@
 
 // Client asks the name service.
 type Client struct {
+	loop    *loop.Loop
+	peer    netip.AddrPort
 	clock   router.Clock
 	at      func(time.Duration, func())
 	log     func(string, ...any)
@@ -101,27 +103,59 @@
 // Follow asks for the list from now on; changed gets the whole list whenever its serial has grown past cursor.
 func Follow(l *loop.Loop, resolver netip.AddrPort, cursor uint32, clock router.Clock,
 	at func(time.Duration, func()), log func(string, ...any), changed func([]sip.Server)) (*Client, error) {
-	c := &Client{clock: clock, at: at, log: log, changed: changed, serial: cursor, id: uint16(clock() >> 10)}
-	socket, err := l.UDP(resolver, c.take)
-	if err != nil {
-		return nil, fmt.Errorf("name service: %w", err)
+	c := &Client{loop: l, clock: clock, at: at, log: log, changed: changed, serial: cursor, id: uint16(clock() >> 10)}
+	if err := c.Move(resolver); err != nil {
+		return nil, err
 	}
-	c.socket = socket
 	c.poll()
 	return c, nil
 }
 
+// Move asks another name service from now on, at once. The serials go on: an older list is still refused, and
+// what the old service may yet answer is not heard any more.
+func (c *Client) Move(resolver netip.AddrPort) error {
+	if c.socket != nil && resolver == c.peer {
+		return nil
+	}
+	socket, err := c.loop.UDP(resolver, c.take)
+	if err != nil {
+		return fmt.Errorf("name service: %w", err)
+	}
+	moved := c.socket != nil
+	if moved {
+		c.socket.Close()
+	}
+	c.socket, c.peer = socket, resolver
+	if moved {
+		c.ask()
+	}
+	return nil
+}
+
+// Known takes a list that came by another way than an answer, if it is newer than what is known.
+func (c *Client) Known(serial uint32, servers []sip.Server) {
+	if int32(serial-c.serial) > 0 {
+		c.serial = serial
+		c.count.Changes++
+		c.changed(servers)
+	}
+}
+
 // Counters returns a copy.
 func (c *Client) Counters() Counters { return c.count }
 
 func (c *Client) poll() {
+	c.ask()
+	c.at(c.clock()+pollEvery, c.poll)
+}
+
+func (c *Client) ask() {
 	c.id++
 	c.count.Queries++
 	if c.waiting++; c.waiting == staleAfter {
 		c.log("name service: no answer to %d queries", staleAfter)
 	}
 	c.socket.Send(query(c.id))
-	c.at(c.clock()+pollEvery, c.poll)
 }
 
 func (c *Client) take(b []byte) {
@@ -147,9 +181,7 @@
 		}
 		return
 	}
-	c.serial = serial
-	c.count.Changes++
-	c.changed(servers)
+	c.Known(serial, servers)
 }
 
 // ---- DNS ----
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -66,6 +66,7 @@
 	serial  uint32
 	listing []string
 	second  netip.AddrPort
+	config  string // as the router was started with
 	check   callcontrol.Verify
 }
 
@@ -74,9 +75,7 @@
 	w := &world{t: t, peers: map[string]*peer{}, vars: map[string]string{}, ended: make(chan error, 1), serial: 7}
 	w.clock.Store(int64(1_700_000_000) * int64(time.Second))
 	w.check = w.verify
-	var err error
-	w.names, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
+	w.names = nameService(t)
 	t.Cleanup(w.end)
 	for number, line := range strings.Split(script, "\n") {
 		if line = strings.TrimSpace(line); line != "" && line[0] != '#' {
@@ -232,7 +231,8 @@
 		w.second, err = w.node.CallControl(callcontrol.Config{Addr: netip.MustParseAddrPort("127.0.0.1:0"), GraceMs: 1000,
 			Sockets: 9, Origins: []string{"https://desk.example"}}, c.Settings.Classes, w.check)
 	}
-	go w.answerNames()
+	w.config = config
+	go w.answerNames(w.names)
 	go func() { w.ended <- w.node.Run() }()
 	return err
 }
@@ -247,10 +247,16 @@
 
 // ---- the name service ----
 
-func (w *world) answerNames() {
+func nameService(t *testing.T) *net.UDPConn {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	return conn
+}
+
+func (w *world) answerNames(names *net.UDPConn) {
 	b := make([]byte, 1024)
 	for lost := true; ; lost = !lost {
-		n, from, err := w.names.ReadFromUDP(b)
+		n, from, err := names.ReadFromUDP(b)
 		if err != nil {
 			return
 		}
@@ -258,7 +264,7 @@
 			w.mu.Lock()
 			answer := w.records(b[:n])
 			w.mu.Unlock()
-			w.names.WriteToUDP(answer, from)
+			names.WriteToUDP(answer, from)
 		}
 	}
 }
--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -1,7 +1,10 @@
 package scenario
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -386,6 +389,38 @@
 	require.Contains(t, w.log(), "requests=2 repeated=0 left=0 stood=2")
 }
 
+// SIGHUP has the configuration read anew: the router goes on with its calls and its servers, asks the new name
+// service at once and counts the lists on from the last; a bad file changes nothing.
+func TestReload(t *testing.T) {
+	w := play(t, stands+"a send INVITE c2\ns0 expect INVITE c2")
+	run := func(line string) { t.Helper(); require.NoError(t, w.do(line), "%s\n%s", line, w.log()) }
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("NODE_CONFIG", path)
+	w.node.Signals()
+	hup := func(text string) {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	}
+	old := w.names
+	old.Close() // the old one answers no more
+	w.names = nameService(t)
+	go w.answerNames(w.names)
+	hup(strings.Replace(w.config, old.LocalAddr().String(), w.names.LocalAddr().String(), 1))
+	run(`log "configuration read anew"`)
+	run("list serial=3 s1")
+	run(`log "list 3 came after 7, not taken"`)
+	run("list serial=8 s0 s1=draining")
+	run(`log "list: server s1 number 1 state 1"`)
+	hup("{")
+	run(`log "configuration not taken, the old one stays"`)
+	run("s0 send 200 INVITE c2 Body=x")
+	run("a expect 200 INVITE c2 Body=x")
+	run("s0 send BYE c1 Reason=Q.850;cause=16")
+	run("a expect BYE c1 Reason=cause=16")
+	run("list serial=9 s0 s1")
+	run(`log "list: server s1 number 1 state 0"`)
+}
+
 // No call has two attempts at once or more than six, however often every server fails it.
 func TestAttemptsAreBounded(t *testing.T) {
 	w := play(t, two+"a send INVITE c1 Answer-Within=60000")
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -54,6 +54,9 @@
 	return nil
 }
 
+// Hold changes how many connections the front holds at most; those open already stay.
+func (f *Front) Hold(most int) { f.most = max(most, 1) }
+
 // Counters returns a copy.
 func (f *Front) Counters() FrontCounters { return f.count }
 
