Bound and check what bad clients send, close connections that spoilt answers came on

Checked in its log: 101 answers 500 at one router in 12 s, all to requests of bad clients (width 0 or 400, dest nan or 99, numbers no server knows). Each went to both servers, up to six times, and each 500 rested its server for all: controller.heed. Ids of open calls came with other descriptions by other connections and got no answer (router.Arrive, sip.invite), and whoever named an id could withdraw it (sip.take, CANCEL). A spoilt answer with a readable end left its connection open (line.Data), on which nothing more ever came: the call not told was out there. Ruled out: CPU (0.05 s in the worst second), the floods themselves (one id 200 times, ignored). Also at fault: loop kept a 16 KiB buffer a connection, spun when out of descriptors, reset over unread input; Trunk acknowledged and released ids it never sent; tables of servers, ids and attempts were never emptied.

--- a/api.go
+++ b/api.go
@@ -26,6 +26,7 @@
 	LateWorth float64 // part of the worth that a late call still earns
 	Repeat    Repeat
 	Servers   []int // numbers of the servers that may take the class
+	Width     int   // circuits that a call takes; 0: untold
 }
 
 // Repeat says whether a call of a class may be set up again.
--- a/controller.go
+++ b/controller.go
@@ -44,6 +44,14 @@
 	// lateShare (ours) of the aim is the age from which a set-up is a return. Varied; 0.35 helps a little
 	// where proxies are many and costs 0.03 where they are few.
 	lateShare = 0.5
+	// faultsMost (ours) faults in a row, without an answer between, rest a server: fewer speak of their
+	// calls, which may be such as no server can use. Guards against callers whose calls would keep a sound
+	// server from all others; it does harm where a server fails many calls, but not most. Not varied.
+	faultsMost = 3
+	// faultsOfCall (ours) faults of one call are its own: another server would say the same. Not varied.
+	faultsOfCall = 2
+	// forgetAfter (ours) is how long a server that is gone is known, should it come back. Not varied.
+	forgetAfter = time.Minute
 	// stopShare (ours) of the aim is the age from which an unanswered set-up stops its server: a queue is
 	// to be seen long before it costs the aim. 0.15 to 0.5 tried: later is worse, earlier no better.
 	stopShare = 0.2
@@ -124,6 +132,7 @@
 	sent     time.Duration
 	overdue  bool          // the latest attempt is out past its stop age
 	returned bool          // the latest attempt was counted as a return
+	faults   int           // attempts that a server found fault with
 	turned   bool          // it had its one turn at the remembered server
 	resume   time.Duration // end of its release wait; 0: not in one
 	patience time.Duration // until when it may wait for a server
@@ -151,6 +160,8 @@
 	out         int           // own set-ups unanswered
 	overdue     int           // of them, those past their stop age
 	failures    int           // set-ups in a row that it failed
+	faults      int           // set-ups that it found fault with since its last answer
+	goneAt      time.Duration // when the list last named it as gone
 	latest      time.Duration // age of the latest set-up that it answered
 	answered    time.Duration // when it did
 	trial       int           // own set-ups that may be out while on trial after an overdue one; 0: no trial
@@ -273,6 +284,7 @@
 			s.State = Removed
 		}
 	}
+	defer c.leaveOut()
 	for _, entry := range e.Servers {
 		s := c.byID[entry.ID]
 		if s == nil {
@@ -290,11 +302,43 @@
 	}
 }
 
+// leaveOut takes the agents of servers that are gone out of the sums, for their calls are cut and a share of
+// what is left is meant, and in the end forgets such servers.
+func (c *Controller) leaveOut() {
+	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
+		switch {
+		case s.State != Removed && s.goneAt > 0: // it is back
+			s.goneAt = 0
+			c.sum(s, 1)
+		case s.State == Removed && s.goneAt == 0:
+			s.goneAt = c.now
+			c.sum(s, -1)
+		}
+		if s.State != Removed {
+			return false
+		}
+		forget := s.out == 0 && c.now-s.goneAt >= forgetAfter
+		if forget {
+			delete(c.byID, s.ID)
+			if c.remembered == s {
+				c.remembered = nil
+			}
+		}
+		return forget
+	})
+}
+
+// sum adds a server's agents to the sums, or with -1 takes them out.
+func (c *Controller) sum(s *server, sign int) {
+	c.all += sign * (s.total - s.free)
+	c.allAgents += sign * s.total
+}
+
 func (c *Controller) agents(e Agents) {
-	if s := c.byID[e.Server]; s != nil {
-		c.all += e.Total - e.Free - (s.total - s.free)
-		c.allAgents += e.Total - s.total
+	if s := c.byID[e.Server]; s != nil && s.goneAt == 0 {
+		c.sum(s, -1)
 		s.free, s.total = e.Free, e.Total
+		c.sum(s, 1)
 	}
 }
 
@@ -465,7 +509,7 @@
 	if e.After >= k.lateAge() {
 		c.count(k)
 	}
-	k.at.latest, k.at.answered = e.After, c.now
+	k.at.latest, k.at.answered, k.at.faults = e.After, c.now, 0
 	k.at.tried(e.After < k.stopAge())
 	if e.After < k.lateAge() {
 		k.at.failures = 0
@@ -501,8 +545,13 @@
 	if e.Outcome == Rejected && e.Cause != CauseNoAgent || e.Outcome == TimedOut {
 		c.count(k)
 	}
+	fault := e.Outcome == Faulted && e.Cause != CauseLinesBusy
+	if fault {
+		k.faults++
+		s.faults++
+	}
 	if e.Outcome == Rejected || e.Outcome == TimedOut || e.Outcome == Unreachable ||
-		e.Outcome == Faulted && e.Cause != CauseLinesBusy {
+		fault && s.faults >= faultsMost {
 		c.bar(s)
 	}
 }
@@ -578,7 +627,7 @@
 	case e.Outcome == Faulted && e.Cause == CauseLinesBusy:
 		c.spare(k.Number)
 		c.refuse(k)
-	case e.Outcome == Unreachable, e.Outcome == Faulted:
+	case e.Outcome == Unreachable, e.Outcome == Faulted && k.faults < faultsOfCall:
 		c.again(k, 0)
 	case e.Outcome == Cut || e.Outcome == TimedOut || e.Outcome == Cancelled:
 		c.again(k, c.set.Rules.ReleaseWait)
--- a/internal/callcontrol/callcontrol.go
+++ b/internal/callcontrol/callcontrol.go
@@ -149,9 +149,6 @@
 // Counters returns a copy.
 func (f *Front) Counters() Counters { return f.count }
 
-// Sockets is how many connections the front may hold.
-func (f *Front) Sockets() int { return f.cfg.Sockets }
-
 // Reconfigure takes a file that was read anew: pages, grace and sockets hold from now on, for new connections.
 // The address stays that of the start, and no call or socket is forgotten.
 func (f *Front) Reconfigure(c Config) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -16,9 +16,10 @@
 
 const (
 	readMost  = 64 << 10  // bytes that may lie unread by a connection's owner
-	readStep  = 16 << 10  // first size of a read buffer
-	writeMost = 1 << 20   // bytes that may wait to be written on one connection
-	batch     = 128       // events taken from epoll at a time
+	readStep  = 16 << 10  // bytes read from one connection a turn
+	turnMost  = 16        // messages taken from one connection a turn
+	writeMost = 256 << 10 // bytes that may wait to be written on one connection
+	batch     = 128       // events taken from epoll, and connections accepted, at a time
 	idleMost  = time.Hour // longest wait with nothing due
 )
 
@@ -43,7 +44,10 @@
 // Loop is one epoll set and all that is in it.
 type Loop struct {
 	epoll   int
-	wake    int // eventfd
+	wake    int     // eventfd
+	spare   int     // a descriptor given up to turn away a connection when none is left
+	buf     []byte  // what all connections are read into; only unfinished messages are kept apart
+	again   []*Conn // have whole messages left over from their turn
 	sources map[int32]source
 	closing []int // closed once the batch is over, so that no number is reused within it
 	mu      sync.Mutex
@@ -65,7 +69,8 @@
 		unix.Close(epoll)
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	l := &Loop{epoll: epoll, wake: wake, sources: map[int32]source{}}
+	l := &Loop{epoll: epoll, wake: wake, spare: -1, sources: map[int32]source{}, buf: make([]byte, readMost+readStep)}
+	l.save()
 	return l, l.add(wake, unix.EPOLLIN, &waker{l})
 }
 
@@ -90,6 +95,9 @@
 		if l.stop {
 			break
 		}
+		if len(l.again) > 0 {
+			wait = 0
+		}
 		// Rounded up, or a timer due in half a millisecond would spin.
 		ms := int((min(max(wait, 0), idleMost) + time.Millisecond - 1) / time.Millisecond)
 		n, err := unix.EpollWait(l.epoll, events, ms)
@@ -101,11 +109,28 @@
 				s.ready(e.Events)
 			}
 		}
+		again := l.again
+		l.again = nil
+		for _, c := range again {
+			c.more = false
+			if !c.closed && !c.finish {
+				c.take(copy(l.buf, c.in))
+			}
+		}
 		l.reap()
 	}
 	return nil
 }
 
+// save opens the spare descriptor, if there is one to be had.
+func (l *Loop) save() {
+	if l.spare < 0 {
+		if fd, err := unix.Eventfd(0, unix.EFD_CLOEXEC); err == nil {
+			l.spare = fd
+		}
+	}
+}
+
 // Close closes every descriptor of a loop that has stopped.
 func (l *Loop) Close() {
 	for fd := range l.sources {
@@ -113,6 +138,9 @@
 	}
 	clear(l.sources)
 	l.reap()
+	if l.spare >= 0 {
+		unix.Close(l.spare)
+	}
 	unix.Close(l.epoll)
 }
 
@@ -186,13 +214,23 @@
 func (ln *Listener) Close() { ln.l.drop(ln.fd) }
 
 func (ln *Listener) ready(uint32) {
-	for {
+	for range batch {
 		fd, from, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err == unix.EINTR || err == unix.ECONNABORTED {
 			continue
 		}
+		if (err == unix.EMFILE || err == unix.ENFILE) && ln.l.spare >= 0 {
+			// Left in the backlog it would wake the loop for ever and its client would hear nothing.
+			unix.Close(ln.l.spare)
+			ln.l.spare = -1
+			if fd, _, err := unix.Accept(ln.fd); err == nil {
+				unix.Close(fd)
+			}
+			ln.l.save()
+			continue
+		}
 		if err != nil {
-			return // EAGAIN, or no descriptor free: the backlog keeps what is there
+			return // EAGAIN
 		}
 		c := &Conn{l: ln.l, fd: fd, remote: addrPort(from), open: true}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
@@ -219,7 +257,9 @@
 	closed   bool
 	interest uint32
 	in, out  []byte
-	finish   bool // close once everything is written
+	more     bool // whole messages may be left in in: the next turn takes them before it reads
+	finish   bool // nothing more is taken or written; the other side is to see the end of what was
+	ended    bool // it was told
 }
 
 // Dial begins to connect; the handler hears Opened or Closed, always after Dial has returned.
@@ -244,38 +284,54 @@
 func (c *Conn) Remote() netip.AddrPort { return c.remote }
 
 // Open says whether the connection can be written to.
-func (c *Conn) Open() bool { return c.open && !c.closed }
+func (c *Conn) Open() bool { return c.open && !c.closed && !c.finish }
 
-// Write sends bytes or keeps a copy of those that the kernel does not take yet.
-func (c *Conn) Write(b []byte) {
-	if !c.Open() || c.finish {
-		return
+// Unsent is how many bytes wait to be written.
+func (c *Conn) Unsent() int { return len(c.out) }
+
+// Write sends bytes or keeps a copy of those that the kernel does not take yet. False means that none of them has
+// left and none will.
+func (c *Conn) Write(b []byte) bool {
+	if !c.Open() {
+		return false
 	}
 	if len(c.out) == 0 {
 		n, err := unix.Write(c.fd, b)
 		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
 			// The owner may be in the middle of its own work: it hears of the end from the loop.
 			c.l.Post(func() { c.Close(err) })
-			return
+			return false
 		}
 		b = b[max(n, 0):]
 	}
 	if len(b) == 0 {
-		return
+		return true
 	}
 	if len(c.out)+len(b) > writeMost {
 		c.l.Post(func() { c.Close(ErrSlow) })
-		return
+		return false
 	}
 	c.out = append(c.out, b...)
 	c.watch()
+	return true
 }
 
-// Finish closes the connection once everything is written.
+// Finish takes nothing more and ends the connection once everything is written: the other side is told the end, and
+// what it goes on to send is thrown away until it ends too, for a close over unread input is a reset that takes
+// the last answer with it. The owner bounds how long that may last by Close.
 func (c *Conn) Finish() {
-	c.finish = true
-	if len(c.out) == 0 {
-		c.l.Post(func() { c.Close(ErrAbandoned) })
+	if c.finish || c.closed {
+		return
+	}
+	c.finish, c.in = true, nil
+	c.end()
+}
+
+// end tells the other side that nothing more comes.
+func (c *Conn) end() {
+	if len(c.out) == 0 && !c.ended {
+		c.ended = true
+		unix.Shutdown(c.fd, unix.SHUT_WR)
 	}
 }
 
@@ -345,46 +401,59 @@
 	if len(c.out) == 0 {
 		c.out = nil
 		if c.finish {
-			c.Close(ErrAbandoned)
-			return false
+			c.end()
 		}
 	}
 	c.watch()
 	return true
 }
 
-// read takes what has come, at most one buffer full a turn so that no connection starves the others.
+// read takes what has come, a bounded part of it each turn so that no connection starves the others. All are read
+// into one buffer; only what is left of an unfinished message, or of a turn, is kept with the connection.
 func (c *Conn) read() {
-	if cap(c.in)-len(c.in) < readStep/4 {
-		grown := make([]byte, len(c.in), max(readStep, 2*cap(c.in)))
-		copy(grown, c.in)
-		c.in = grown
+	if c.more {
+		return // its turn comes
+	}
+	have := 0
+	if !c.finish {
+		have = copy(c.l.buf, c.in)
 	}
-	n, err := unix.Read(c.fd, c.in[len(c.in):cap(c.in)])
+	n, err := unix.Read(c.fd, c.l.buf[have:have+readStep])
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
-		return
 	case err != nil:
 		c.Close(err)
-		return
+	case n == 0 && c.finish:
+		c.Close(ErrAbandoned)
 	case n == 0:
 		c.Close(ErrEOF)
-		return
+	case !c.finish:
+		c.take(have + n)
 	}
-	c.in = c.in[:len(c.in)+n]
-	taken := 0
-	for taken < len(c.in) && !c.closed {
-		used := c.handler.Data(c, c.in[taken:])
+}
+
+// take offers the owner the first n bytes of the buffer.
+func (c *Conn) take(n int) {
+	b, turns := c.l.buf[:n], 0
+	for ; len(b) > 0 && turns < turnMost; turns++ {
+		used := c.handler.Data(c, b)
+		if c.closed || c.finish {
+			return
+		}
 		if used <= 0 {
 			break
 		}
-		taken += used
+		b = b[used:]
 	}
-	if c.closed {
+	if len(b) == 0 {
+		c.in = nil
 		return
 	}
-	c.in = c.in[:copy(c.in, c.in[taken:])]
-	if len(c.in) >= readMost {
+	c.in = append(c.in[:0], b...)
+	if turns == turnMost {
+		c.more = true
+		c.l.again = append(c.l.again, c)
+	} else if len(c.in) >= readMost {
 		c.Close(ErrTooLong)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,10 +30,10 @@
 const (
 	// stayFor is how long a router that was told to end still takes what callers send it.
 	stayFor = 750 * time.Millisecond
+	// flushFor is how long answers that were given may still wait for callers who read slowly, at the end.
+	flushFor = 500 * time.Millisecond
 	// memoryPart of the limit is the most that the collector lets the heap come to.
 	memoryPart = 0.7
-	// callerPart of the descriptors may be held by callers.
-	callerPart = 3
 )
 
 // Config is what the platform tells a call router.
@@ -168,7 +168,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n.front = sip.NewFront(n.Router, clock, c.Sockets/callerPart)
+	n.front = sip.NewFront(sip.FrontConfig{Router: n.Router, Clock: clock, Sockets: c.Sockets, Settings: c.Settings})
+	n.front.Start()
 	n.trunk.Start(n.Router)
 	n.list(c.Servers, true)
 	if n.names, err = registry.Follow(l, c.Resolver, c.Cursor, clock, n.Router.At, log,
@@ -228,9 +229,13 @@
 func (n *Node) Shutdown() {
 	n.log("told to end: %d requests open", n.Router.Open())
 	earliest := n.clock() + stayFor
+	latest := earliest + flushFor
 	var look func()
 	look = func() {
-		if n.Router.Open() == 0 && n.clock() >= earliest {
+		if n.Router.Open() > 0 {
+			latest = max(latest, n.clock()+flushFor)
+		}
+		if n.Router.Open() == 0 && n.clock() >= earliest && (!n.front.Unsent() || n.clock() >= latest) {
 			if n.second != nil {
 				n.second.Close()
 			}
@@ -255,11 +260,7 @@
 		return err
 	}
 	n.names.Known(c.Cursor, c.Servers)
-	reserved := 0
-	if n.second != nil {
-		reserved = n.second.Sockets()
-	}
-	n.front.Hold(c.Sockets/callerPart - reserved)
+	n.front.Hold(c.Sockets)
 	old := n.config
 	for name, same := range map[string]bool{"name": c.Name == old.Name, "listen": c.Listen == old.Listen,
 		"seed": c.Seed == old.Seed, "settings": reflect.DeepEqual(c.Settings, old.Settings) &&
--- a/internal/sip/message.go
+++ b/internal/sip/message.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"unicode/utf8"
 )
 
 const (
@@ -16,7 +17,7 @@
 	headersMost = 64
 )
 
-// Errors of Parse. After errFrame the rest of the connection cannot be read any more; after errMessage the next
+// Errors of parse. After errFrame the rest of the connection cannot be read any more; after errMessage the next
 // message can.
 var (
 	errFrame   = errors.New("message without a readable end")
@@ -68,6 +69,9 @@
 	}
 	text := b[skip:]
 	end := bytes.Index(text, []byte("\r\n\r\n"))
+	if !begins(text) {
+		return 0, errFrame
+	}
 	if end < 0 {
 		if len(text) > messageMost {
 			return 0, errFrame
@@ -126,6 +130,60 @@
 	return skip + total, nil
 }
 
+// begins says whether b may be the beginning of a message, or of the white space before one: noise is known by its
+// first bytes and not waited for, and what follows a message tells whether its length was right.
+func begins(b []byte) bool {
+	b = bytes.TrimLeft(b, "\r\n")
+	const version, methodMost = "SIP/2.0 ", 16
+	if n := min(len(b), len(version)); string(b[:n]) == version[:n] {
+		return true
+	}
+	for i, c := range b {
+		if c == ' ' {
+			return i > 0
+		}
+		if c < 'A' || c > 'Z' || i == methodMost {
+			return false
+		}
+	}
+	return true
+}
+
+// sound says whether a description is whole as far as can be told without knowing what it means: text, and where it
+// has lines, every line ended and all but the first of the form x=value. One cut short or run into the next message
+// by a wrong length is not.
+func sound(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\r' && c != '\n' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	if !utf8.Valid(b) {
+		return false
+	}
+	first, rest, lines := bytes.Cut(b, []byte("\r\n"))
+	if !lines {
+		return bytes.IndexByte(first, '\n') < 0
+	}
+	for len(rest) > 0 {
+		var line []byte
+		if line, rest, lines = bytes.Cut(rest, []byte("\r\n")); !lines || len(line) < 2 || line[1] != '=' {
+			return false
+		}
+	}
+	return true
+}
+
+// dialable says whether b can be a number called.
+func dialable(b []byte) bool {
+	for _, c := range b {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && bytes.IndexByte([]byte("+-._*#"), c) < 0 {
+			return false
+		}
+	}
+	return len(b) >= 1 && len(b) <= 64
+}
+
 func cutLine(b []byte) []byte {
 	if i := bytes.Index(b, []byte("\r\n")); i >= 0 {
 		return b[:i]
@@ -199,7 +257,7 @@
 // ---- writing ----
 
 var phrases = map[int]string{200: "OK", 400: "Bad Request", 487: "Request Terminated", 500: "Server Internal Error",
-	501: "Not Implemented", 503: "Service Unavailable"}
+	408: "Request Timeout", 413: "Request Entity Too Large", 501: "Not Implemented", 503: "Service Unavailable"}
 
 // out is a message being written.
 type out []byte
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -1,6 +1,7 @@
 package sip
 
 import (
+	"errors"
 	"net/netip"
 	"time"
 
@@ -21,8 +22,23 @@
 	deadAfter = 2 * time.Second
 	// watchEvery is how often servers are looked at.
 	watchEvery = 100 * time.Millisecond
+	// answerWithin is how long a message of a server may take from its first byte until it is whole. Servers write
+	// one at once; what stops short will not go on, nor will anything else on that connection.
+	answerWithin = 400 * time.Millisecond
+	// givenFor is how long an attempt that was given up is known, in case its answer has crossed the CANCEL.
+	givenFor = 15 * time.Second
+	// complainEvery is how often a server that sends what cannot be read is named in the log.
+	complainEvery = time.Second
+	// owedMost releases may wait for a connection to a server that is out of reach.
+	owedMost = 1000
+	// agentsMost is more than any server has.
+	agentsMost = 1 << 20
 )
 
+// errSpoilt is why a connection is closed whose last message is not what its server meant to send: what else it
+// would carry cannot be told either.
+var errSpoilt = errors.New("spoilt message")
+
 // Server is an entry of the server list with its address.
 type Server struct {
 	threadglade.Server
@@ -44,13 +60,21 @@
 	router *router.Router
 	peers  map[string]*peer
 	legs   map[string]*outLeg // the one attempt of each call that is out or stands
+	given  map[string]given   // attempts that were given up unanswered
 	buf    out
 	count  TrunkCounters
 }
 
-// TrunkCounters count what went to case servers and came from them.
+// given is an attempt that was given up on a line.
+type given struct {
+	on *line
+	at time.Duration
+}
+
+// TrunkCounters count what went to case servers and came from them. Peers, Legs and Given are what is held now.
 type TrunkCounters struct {
-	Dials, DialsFailed, Closed, Invites, Cancels, Releases, Messages, Malformed, States, Crossed, Silent uint64
+	Dials, DialsFailed, Closed, Invites, Unsent, Cancels, Releases, Messages, Malformed, Cut, States, Crossed, Unknown, Silent uint64
+	Peers, Legs, Given                                                                                                         int
 }
 
 // peer is one server and the connections to it.
@@ -66,6 +90,7 @@
 	pending   []*outLeg     // wait for a connection
 	owed      []string      // calls to be released that found no connection
 	legs      int           // attempts of it in Trunk.legs
+	complains time.Duration // when it was last named in the log for what it sent
 }
 
 // line is one connection to a peer.
@@ -74,6 +99,7 @@
 	conn  *loop.Conn
 	since time.Duration // when it was opened
 	heard time.Duration
+	by    time.Duration // when the message that has begun must be whole; 0: none has
 	m     message
 }
 
@@ -89,7 +115,7 @@
 
 // NewTrunk makes a trunk; Start gives it its router.
 func NewTrunk(cfg TrunkConfig) *Trunk {
-	return &Trunk{cfg: cfg, peers: map[string]*peer{}, legs: map[string]*outLeg{}}
+	return &Trunk{cfg: cfg, peers: map[string]*peer{}, legs: map[string]*outLeg{}, given: map[string]given{}}
 }
 
 // Start begins to watch the servers.
@@ -99,7 +125,10 @@
 }
 
 // Counters returns a copy.
-func (t *Trunk) Counters() TrunkCounters { return t.count }
+func (t *Trunk) Counters() TrunkCounters {
+	t.count.Peers, t.count.Legs, t.count.Given = len(t.peers), len(t.legs), len(t.given)
+	return t.count
+}
 
 // ---- the server list ----
 
@@ -211,11 +240,21 @@
 	for _, p := range t.peers {
 		p.look(now)
 	}
+	for id, g := range t.given {
+		if now-g.at >= givenFor {
+			delete(t.given, id)
+		}
+	}
 	t.router.At(now+watchEvery, t.watch)
 }
 
 func (p *peer) look(now time.Duration) {
 	p.tidy()
+	for _, l := range append([]*line{p.line}, p.old...) {
+		if l != nil && l.by > 0 && now >= l.by {
+			l.spoilt(errSpoilt)
+		}
+	}
 	if p.dial != nil && now-p.lastDial >= p.t.cfg.ConnectTimeout {
 		p.dial.conn.Close(loop.ErrDialLate)
 	}
@@ -306,6 +345,11 @@
 			p.t.end(leg, threadglade.Cut, threadglade.CauseNone)
 		}
 	}
+	for id, g := range p.t.given {
+		if g.on == l {
+			delete(p.t.given, id)
+		}
+	}
 	if p.line == l {
 		p.line = nil
 		p.connect()
@@ -341,10 +385,16 @@
 		p.invite(l)
 		return
 	}
+	p.wait(l)
+}
+
+// wait has an attempt wait for a connection.
+func (p *peer) wait(l *outLeg) {
+	t := p.t
 	l.by = t.cfg.Clock() + t.cfg.ConnectTimeout
 	p.pending = append(p.pending, l)
 	t.router.At(l.by, func() {
-		if t.legs[a.ID] == l && l.on == nil {
+		if t.legs[l.ID] == l && l.on == nil {
 			t.end(l, threadglade.Unreachable, threadglade.CauseNone)
 		}
 	})
@@ -359,7 +409,12 @@
 	b := request(t.buf[:0], "INVITE", l.Number, l.ID, 1, "INVITE").head("Call-Kind", l.Class)
 	b = b.headInt("Answer-Within", max(1, int64((l.Deadline-now)/time.Millisecond))).body(l.Description)
 	t.buf = b
-	l.on.conn.Write(b)
+	if !l.on.conn.Write(b) {
+		// Nothing has left, so nothing can run: the attempt goes by the next connection.
+		t.count.Unsent++
+		p.line, l.on = nil, nil
+		p.wait(l)
+	}
 }
 
 // GiveUp withdraws an attempt that is unanswered.
@@ -377,6 +432,7 @@
 func (t *Trunk) cancel(l *outLeg) {
 	if l.on != nil && !l.standing && l.on.conn.Open() {
 		t.count.Cancels++
+		t.given[l.ID] = given{l.on, t.cfg.Clock()}
 		t.buf = request(t.buf[:0], "CANCEL", l.Number, l.ID, 1, "CANCEL").body(nil)
 		l.on.conn.Write(t.buf)
 	}
@@ -394,7 +450,9 @@
 		on = l.p.line
 	}
 	if on == nil {
-		l.p.owed = append(l.p.owed, l.ID)
+		if len(l.p.owed) < owedMost {
+			l.p.owed = append(l.p.owed, l.ID)
+		}
 		return
 	}
 	on.release(l.ID)
@@ -433,18 +491,21 @@
 	t := l.p.t
 	l.heard = t.cfg.Clock()
 	n, err := parse(b, &l.m)
-	if n == 0 && err == nil {
+	switch {
+	case err != nil:
+	case n == 0:
+		if l.by == 0 {
+			l.by = l.heard + answerWithin
+		}
 		return 0
+	case !begins(b[n:]) || l.m.status == 200 && !sound(l.m.body):
+		err = errSpoilt
 	}
 	if err != nil {
-		t.count.Malformed++
-		t.cfg.Log("server %s: %v", l.p.server.ID, err)
-		if err == errFrame {
-			c.Close(err)
-			return len(b)
-		}
-		return n
+		l.spoilt(err)
+		return len(b)
 	}
+	l.by = 0
 	if len(l.m.headers) > 0 {
 		t.count.Messages++
 		l.take(&l.m)
@@ -452,6 +513,23 @@
 	return n
 }
 
+// spoilt ends a connection on which something came that cannot be read, or not whole: neither can what follows. Every
+// set-up that was out on it may have run; that is its outcome.
+func (l *line) spoilt(err error) {
+	t, now := l.p.t, l.p.t.cfg.Clock()
+	t.count.Malformed++
+	for _, leg := range t.legs {
+		if leg.on == l && !leg.standing {
+			t.count.Cut++
+		}
+	}
+	if l.p.complains == 0 || now-l.p.complains >= complainEvery {
+		l.p.complains = now
+		t.cfg.Log("server %s: %v, connection closed", l.p.server.ID, err)
+	}
+	l.conn.Close(err)
+}
+
 func (l *line) write(b out) {
 	l.p.t.buf = b
 	l.conn.Write(b)
@@ -477,14 +555,22 @@
 	}
 }
 
-// answered takes the final answer to a set-up. It is acknowledged whatever became of the attempt; one that
-// crossed our CANCEL stands on the other side and is released. The number in CSeq tells attempts of one call
+// answered takes the final answer to a set-up that was sent on this server's connections. One that crossed our CANCEL
+// stands on the other side, is acknowledged and released. The number in CSeq tells attempts of one call
 // apart no more than the Call-ID does: case servers answer with 1 whatever they were sent.
 func (l *line) answered(m *message) {
 	t := l.p.t
 	id := string(m.callID)
 	leg := t.legs[id]
 	ours := leg != nil && leg.p == l.p && leg.on != nil
+	_, crossed := t.given[id]
+	if crossed = crossed && t.given[id].on == l; crossed && !ours {
+		delete(t.given, id)
+	}
+	if !ours && !crossed { // a second copy, or nothing that was ever asked: it changes nothing
+		t.count.Unknown++
+		return
+	}
 	l.write(request(t.buf[:0], "ACK", id, id, m.cseq, "ACK").body(nil))
 	switch {
 	case m.status == 487: // to an attempt that we gave up
@@ -561,7 +647,7 @@
 		free, told = field(report, "x0")
 		total, sized = field(report, "x1")
 	}
-	if told && sized {
+	if told && sized && free >= 0 && total >= free && total <= agentsMost { // also no NaN
 		t.count.States++
 		t.router.Agents(threadglade.Agents{Server: l.p.server.ID, Free: int(free), Total: int(total)})
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -29,6 +29,7 @@
 	} `json:"clientHabits"`
 	Domain struct {
 		Pools   [][]int   `json:"allowedPools"`
+		Width   []int     `json:"classWidth"`
 		Release float64   `json:"clearWaitMs"`
 		Holding []float64 `json:"holdingMs"`
 		Form    string    `json:"networkForm"`
@@ -74,6 +75,9 @@
 		if i < len(p.Domain.Pools) {
 			class.Servers = p.Domain.Pools[i]
 		}
+		if i < len(p.Domain.Width) {
+			class.Width = p.Domain.Width[i]
+		}
 		if i < len(p.Domain.Holding) {
 			class.Holding = Span(p.Domain.Holding[i])
 		}
--- a/router/router.go
+++ b/router/router.go
@@ -24,8 +24,13 @@
 	// drainEarly is taken off the time in which a draining server may still be sent something new: a send is
 	// counted where it arrives.
 	drainEarly = 100 * time.Millisecond
-	// rememberFor is how long an id that is over is known, so that late and repeated messages do no harm.
-	rememberFor = 30 * time.Second
+	// rememberFor is how long an id that is over is known, so that late and repeated messages do no harm, and
+	// rememberMost bounds how many are: beyond what any day brings, so that only a flood of ids is forgotten early.
+	rememberFor  = 30 * time.Second
+	rememberMost = 20_000
+	// straysMost releases a second, of calls never known here, are passed on to servers: those of an earlier life
+	// are few, and somebody who makes ids up must not cost the servers work.
+	straysMost = 50
 )
 
 // Clock tells the time since the Unix epoch; it never goes back.
@@ -67,6 +72,7 @@
 const (
 	GivenUp      Failure = iota // something may have run, and no further attempt is left
 	DeadlinePast                // the time of the request ran out
+	Known                       // the id is or was another request's, which this one leaves as it is
 )
 
 // Front is where a request came from. Each request gets exactly one of Stood, Refused and Failed unless its
@@ -109,8 +115,11 @@
 	control *threadglade.Controller
 	calls   map[string]*call
 	servers map[string]*server
-	over    map[string]bool // ids that are over: whether they were answered
+	over    map[string]end // ids that are over
 	overAt  []past
+	lapsing bool          // a timer is set that forgets the oldest
+	strays  int           // passed on in the second that began at
+	second  time.Duration // then
 	count   Counters
 	open    atomic.Int64
 
@@ -127,6 +136,12 @@
 	b []byte
 }
 
+// end is when an id was over, and whether with an answer.
+type end struct {
+	at       time.Duration
+	answered bool
+}
+
 type past struct {
 	id string
 	at time.Duration
@@ -163,7 +178,7 @@
 		cfg.Log = func(string, ...any) {}
 	}
 	return &Router{cfg: cfg, control: control, calls: map[string]*call{}, servers: map[string]*server{},
-		over: map[string]bool{}}, nil
+		over: map[string]end{}}, nil
 }
 
 // do works f off now, or after what is being worked on; b is copied if it has to wait.
@@ -180,6 +195,7 @@
 	r.mu.Lock()
 	for len(r.queue) > 0 {
 		next := r.queue[0]
+		r.queue[0] = step{}
 		r.queue = r.queue[1:]
 		r.mu.Unlock()
 		next.f(next.b)
@@ -187,18 +203,20 @@
 	}
 	r.busy = false
 	r.taken = r.count
+	r.taken.Calls, r.taken.Known, r.taken.Servers, r.taken.Timers = len(r.calls), len(r.over), len(r.servers), len(r.timers)
 	r.mu.Unlock()
 }
 
 // ---- what fronts say ----
 
-// Arrive takes a request. One whose id is known already is a repeat and is ignored; a repeat of one that was
-// withdrawn unanswered is a new request.
+// Arrive takes a request. One whose id is known already fails as Known and changes nothing else; a repeat of one
+// that was withdrawn unanswered is a new request.
 func (r *Router) Arrive(front Front, req Request) {
 	req.Description = bytes.Clone(req.Description)
 	r.do(nil, func([]byte) {
-		if answered, known := r.over[req.ID]; r.calls[req.ID] != nil || known && answered {
+		if r.calls[req.ID] != nil || r.over[req.ID].answered {
 			r.count.Repeated++
+			front.Failed(req.ID, Known)
 			return
 		}
 		now := r.cfg.Clock()
@@ -234,7 +252,7 @@
 			r.cfg.Trunk.Release(c.attempt, threadglade.Cancelled)
 			r.end(c, threadglade.Cancelled, threadglade.CauseNone, false)
 		}
-		if _, known := r.over[id]; !known && c == nil && r.cfg.Stray != nil {
+		if _, known := r.over[id]; !known && c == nil && r.cfg.Stray != nil && r.stray() {
 			r.count.Orphans++
 			r.remember(id, true)
 			r.cfg.Stray(id)
@@ -242,6 +260,15 @@
 	})
 }
 
+// stray counts a release that is to be passed on, and says whether it may be.
+func (r *Router) stray() bool {
+	if now := r.cfg.Clock(); now-r.second >= time.Second {
+		r.second, r.strays = now, 0
+	}
+	r.strays++
+	return r.strays <= straysMost
+}
+
 func (r *Router) leave(c *call) {
 	r.settle(c)
 	r.tell(threadglade.CallerGone{Call: c.ID})
@@ -279,6 +306,11 @@
 				r.listed(id, threadglade.Removed, now)
 			}
 		}
+		for id, s := range r.servers {
+			if s.state == threadglade.Removed && now-s.told > rememberFor {
+				delete(r.servers, id)
+			}
+		}
 		r.count.Lists++
 		r.tell(list)
 	})
@@ -357,16 +389,41 @@
 func (r *Router) forget(c *call) {
 	if c.final && !c.out && !c.standing && r.calls[c.ID] == c {
 		delete(r.calls, c.ID)
+		c.Description, c.attempt.Description = nil, nil // timers may hold the call for a while
 		r.remember(c.ID, !c.left)
 	}
 }
 
 func (r *Router) remember(id string, answered bool) {
 	now := r.cfg.Clock()
-	r.over[id] = answered
+	r.over[id] = end{now, answered}
 	r.overAt = append(r.overAt, past{id, now})
-	for len(r.overAt) > 0 && now-r.overAt[0].at > rememberFor {
-		delete(r.over, r.overAt[0].id)
+	if len(r.overAt) > rememberMost {
+		r.lapse()
+	}
+	if !r.lapsing {
+		r.lapsing = true
+		r.at(now+rememberFor, r.lapseLater)
+	}
+}
+
+// lapseLater forgets by one timer, which is set as long as there is something to forget.
+func (r *Router) lapseLater() {
+	r.lapse()
+	if r.lapsing = len(r.overAt) > 0; r.lapsing {
+		r.at(max(r.overAt[0].at+rememberFor, r.cfg.Clock()+time.Second), r.lapseLater)
+	} else {
+		r.overAt = nil
+	}
+}
+
+// lapse forgets ids that have been over for long enough.
+func (r *Router) lapse() {
+	now := r.cfg.Clock()
+	for len(r.overAt) > 0 && (now-r.overAt[0].at >= rememberFor || len(r.overAt) > rememberMost) {
+		if old := r.overAt[0]; r.over[old.id].at == old.at {
+			delete(r.over, old.id)
+		}
 		r.overAt = r.overAt[1:]
 	}
 }
@@ -568,6 +625,7 @@
 	Requests, Repeated, Left, Stood, Refused, Failed, Overdue uint64
 	Attempts, Stopped, CallerReleases, Orphans, Lists, Faults uint64
 	Ends                                                      [8]uint64 // of attempts, by outcome
+	Calls, Known, Servers, Timers                             int       // table sizes: what is held now
 }
 
 // Counters returns a copy.
@@ -580,7 +638,7 @@
 func (c Counters) String() string {
 	return fmt.Sprintf("requests=%d repeated=%d left=%d stood=%d refused=%d failed=%d overdue=%d attempts=%d stopped=%d "+
 		"concluded=%d faulted=%d rejected=%d timed_out=%d unreachable=%d cut=%d cancelled=%d not_sent=%d "+
-		"caller_releases=%d orphans=%d lists=%d faults=%d", c.Requests, c.Repeated, c.Left, c.Stood, c.Refused, c.Failed,
+		"caller_releases=%d orphans=%d lists=%d faults=%d calls=%d known=%d servers=%d timers=%d", c.Requests, c.Repeated, c.Left, c.Stood, c.Refused, c.Failed,
 		c.Overdue, c.Attempts, c.Stopped, c.Ends[0], c.Ends[1], c.Ends[2], c.Ends[3], c.Ends[4], c.Ends[5], c.Ends[6],
-		c.Ends[7], c.CallerReleases, c.Orphans, c.Lists, c.Faults)
+		c.Ends[7], c.CallerReleases, c.Orphans, c.Lists, c.Faults, c.Calls, c.Known, c.Servers, c.Timers)
 }
