Hear releases behind spoilt answers, and fail calls that were over before their answer

Checked with log lines of each attempt: (1) an answer ahead under an unknown id had noise for a description, and the connection was closed for it, with a good answer behind it in the same read; (2) a release that the server had written to a connection in the moment in which it was closed for a spoilt answer is not sent again; (3) a server whose answer was lost released the call before the repeat elsewhere was answered, and nobody told the caller that it was over. Ruled out: releases waiting for a caller's connection (Owed 0), releases sent to a wrong one (Moved seldom). At fault: line.Data (looked at descriptions nobody asked for), line.spoilt (closed at once), line.released (ended the attempt as cut, so that it was set up again). Now: half-close first and hear releases until the server ends its side; unknown ids are skipped; Router.Orphan fails an open call that a server has released.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -258,8 +258,9 @@
 	interest uint32
 	in, out  []byte
 	more     bool // whole messages may be left in in: the next turn takes them before it reads
-	finish   bool // nothing more is taken or written; the other side is to see the end of what was
-	ended    bool // it was told
+	finish   bool // nothing more is taken or written: the other side is to read to the end
+	half     bool // nothing more is written
+	ended    bool // the other side was told
 }
 
 // Dial begins to connect; the handler hears Opened or Closed, always after Dial has returned.
@@ -284,7 +285,7 @@
 func (c *Conn) Remote() netip.AddrPort { return c.remote }
 
 // Open says whether the connection can be written to.
-func (c *Conn) Open() bool { return c.open && !c.closed && !c.finish }
+func (c *Conn) Open() bool { return c.open && !c.closed && !c.finish && !c.half }
 
 // Unsent is how many bytes wait to be written.
 func (c *Conn) Unsent() int { return len(c.out) }
@@ -327,6 +328,15 @@
 	c.end()
 }
 
+// Half ends this side alone: nothing more is written, but what the other side has sent until it sees the end, and
+// ends too, is still offered. The owner bounds how long that may last by Close.
+func (c *Conn) Half() {
+	if c.Open() {
+		c.half = true
+		c.end()
+	}
+}
+
 // end tells the other side that nothing more comes.
 func (c *Conn) end() {
 	if len(c.out) == 0 && !c.ended {
@@ -400,7 +410,7 @@
 	}
 	if len(c.out) == 0 {
 		c.out = nil
-		if c.finish {
+		if c.finish || c.half {
 			c.end()
 		}
 	}
--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -435,6 +435,24 @@
 s1 expect INVITE
 s1 expect INVITE`,
 
+	// What stands does not go with a spoilt connection, and a release that came behind the spoilt message, or swallowed
+	// by it, is still heard: the server does not send it again.
+	"releases behind a spoilt answer": strings.ReplaceAll(stands, " c1", " #00000000000000aa") + `
+a send INVITE c2
+s0 expect INVITE c2
+s0 raw "SIP/2.0 200 OK\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\nContent-Length: 40\r\n\r\nx\r\nBYE sip:1@net SIP/2.0\r\nCall-ID: 00000000000000aa\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n"
+a expect BYE #00000000000000aa Reason=cause=16
+wait 220ms
+s1 expect INVITE c2`,
+
+	// An answer to a set-up that nobody sent is not looked at, however it reads: the connection serves on.
+	"noise under an unknown id": open + `
+a send INVITE c1
+s0 expect INVITE c1
+s0 raw "SIP/2.0 200 OK\r\nCall-ID: 00000000000000ab\r\nCSeq: 1 INVITE\r\nContent-Length: 2\r\n\r\n\x01\xff"
+s0 send 200 INVITE c1 Body=x
+a expect 200 INVITE c1 Body=x`,
+
 	"an answer of the wrong length": two + `
 a send INVITE #00000000000000aa
 s0 expect INVITE
@@ -455,6 +473,22 @@
 s0 expect INVITE c1
 s0 raw "SIP/2.0 200 OK\r\nContent-Length: 3000000000\r\n\r\nAAAA"
 s0 expect closed
+a expect silence`,
+
+	// A server whose answer was lost releases the call when it is over, by whatever connection: the caller hears that it
+	// failed. A repeat elsewhere was once answered after that, and nobody told the caller that the call was over.
+	"a call whose answer was lost ends": two + `
+a send INVITE c1
+s0 expect INVITE c1
+s0 close
+wait 220ms
+s1 expect INVITE c1
+a expect silence
+s1 send BYE c1 Reason=Q.850;cause=16
+a expect 500 INVITE c1
+s1 expect CANCEL c1
+s1 send 200 INVITE c1 Body=x
+s1 expect BYE c1
 a expect silence`,
 
 	// Second copies and answers that nobody asked for change nothing: they are not even acknowledged.
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -1,6 +1,7 @@
 package sip
 
 import (
+	"bytes"
 	"errors"
 	"net/netip"
 	"time"
@@ -25,6 +26,8 @@
 	// answerWithin is how long a message of a server may take from its first byte until it is whole. Servers write
 	// one at once; what stops short will not go on, nor will anything else on that connection.
 	answerWithin = 400 * time.Millisecond
+	// deadFor is how long the other side has to end a connection that this one has ended.
+	deadFor = 500 * time.Millisecond
 	// givenFor is how long an attempt that was given up is known, in case its answer has crossed the CANCEL.
 	givenFor = 15 * time.Second
 	// complainEvery is how often a server that sends what cannot be read is named in the log.
@@ -73,8 +76,8 @@
 
 // TrunkCounters count what went to case servers and came from them. Peers, Legs and Given are what is held now.
 type TrunkCounters struct {
-	Dials, DialsFailed, Closed, Invites, Unsent, Cancels, Releases, Messages, Malformed, Cut, States, Crossed, Unknown, Silent uint64
-	Peers, Legs, Given                                                                                                         int
+	Dials, DialsFailed, Closed, Invites, Unsent, Cancels, Releases, Messages, Malformed, Cut, Salvaged, States, Crossed, Unknown, Silent uint64
+	Peers, Legs, Given                                                                                                                   int
 }
 
 // peer is one server and the connections to it.
@@ -99,7 +102,8 @@
 	conn  *loop.Conn
 	since time.Duration // when it was opened
 	heard time.Duration
-	by    time.Duration // when the message that has begun must be whole; 0: none has
+	by    time.Duration // when the message that has begun must be whole, or a dead line closed; 0: neither
+	dead  bool          // something spoilt came on it
 	m     message
 }
 
@@ -212,7 +216,7 @@
 	lines := p.old
 	p.old = nil
 	for _, l := range lines {
-		if used[l] && l.conn.Open() {
+		if used[l] && l.conn.Open() || l.dead && l.by > p.t.cfg.Clock() {
 			p.old = append(p.old, l)
 		} else {
 			l.conn.Close(loop.ErrAbandoned)
@@ -251,7 +255,7 @@
 func (p *peer) look(now time.Duration) {
 	p.tidy()
 	for _, l := range append([]*line{p.line}, p.old...) {
-		if l != nil && l.by > 0 && now >= l.by {
+		if l != nil && l.by > 0 && now >= l.by && !l.dead {
 			l.spoilt(errSpoilt)
 		}
 	}
@@ -340,16 +344,7 @@
 	}
 	p.t.count.Closed++
 	// What was out on it has been given up on the other side; what stands there goes on.
-	for _, leg := range p.t.legs {
-		if leg.on == l && !leg.standing {
-			p.t.end(leg, threadglade.Cut, threadglade.CauseNone)
-		}
-	}
-	for id, g := range p.t.given {
-		if g.on == l {
-			delete(p.t.given, id)
-		}
-	}
+	l.cut()
 	if p.line == l {
 		p.line = nil
 		p.connect()
@@ -490,6 +485,9 @@
 func (l *line) Data(c *loop.Conn, b []byte) int {
 	t := l.p.t
 	l.heard = t.cfg.Clock()
+	if l.dead {
+		return l.salvage(b)
+	}
 	n, err := parse(b, &l.m)
 	switch {
 	case err != nil:
@@ -498,36 +496,74 @@
 			l.by = l.heard + answerWithin
 		}
 		return 0
-	case !begins(b[n:]) || l.m.status == 200 && !sound(l.m.body):
+	case !begins(b[n:]):
 		err = errSpoilt
+	default:
+		l.by = 0
+		if len(l.m.headers) > 0 {
+			t.count.Messages++
+			err = l.take(&l.m)
+		}
 	}
 	if err != nil {
 		l.spoilt(err)
-		return len(b)
-	}
-	l.by = 0
-	if len(l.m.headers) > 0 {
-		t.count.Messages++
-		l.take(&l.m)
+		return l.salvage(b)
 	}
 	return n
 }
 
 // spoilt ends a connection on which something came that cannot be read, or not whole: neither can what follows. Every
-// set-up that was out on it may have run; that is its outcome.
+// set-up that was out on it may have run; that is its outcome. The end is told first and then awaited, for releases
+// of calls that stand may be on their way.
 func (l *line) spoilt(err error) {
-	t, now := l.p.t, l.p.t.cfg.Clock()
+	p, t, now := l.p, l.p.t, l.p.t.cfg.Clock()
 	t.count.Malformed++
+	if p.complains == 0 || now-p.complains >= complainEvery {
+		p.complains = now
+		t.cfg.Log("server %s: %v, connection closed", p.server.ID, err)
+	}
+	l.dead, l.by = true, now+deadFor
+	l.conn.Half()
+	if p.line == l {
+		p.retire()
+	}
+	t.count.Cut += uint64(l.cut())
+	p.connect()
+}
+
+// salvage finds the releases among what comes on a dead line; the last bytes may be the beginning of one.
+func (l *line) salvage(b []byte) int {
+	const sign = "BYE sip:"
+	at := bytes.Index(b, []byte(sign))
+	if at < 0 {
+		return max(0, len(b)-len(sign)+1)
+	}
+	n, err := parse(b[at:], &l.m)
+	switch {
+	case err != nil:
+		return at + len(sign)
+	case n > 0 && hexID(l.m.callID):
+		l.p.t.count.Salvaged++
+		l.released(&l.m)
+	}
+	return at + n
+}
+
+// cut ends what is unanswered on the line: the other side has given it up or is told so by the end of the line.
+func (l *line) cut() (count int) {
+	t := l.p.t
 	for _, leg := range t.legs {
 		if leg.on == l && !leg.standing {
-			t.count.Cut++
+			t.end(leg, threadglade.Cut, threadglade.CauseNone)
+			count++
 		}
 	}
-	if l.p.complains == 0 || now-l.p.complains >= complainEvery {
-		l.p.complains = now
-		t.cfg.Log("server %s: %v, connection closed", l.p.server.ID, err)
+	for id, g := range t.given {
+		if g.on == l {
+			delete(t.given, id)
+		}
 	}
-	l.conn.Close(err)
+	return count
 }
 
 func (l *line) write(b out) {
@@ -535,12 +571,12 @@
 	l.conn.Write(b)
 }
 
-func (l *line) take(m *message) {
+func (l *line) take(m *message) error {
 	t := l.p.t
 	switch string(m.method) {
 	case "":
 		if string(m.cmethod) == "INVITE" && m.status >= 200 {
-			l.answered(m)
+			return l.answered(m)
 		}
 	case "NOTIFY":
 		l.state(m)
@@ -553,12 +589,13 @@
 	default:
 		l.write(reply(t.buf[:0], 501, m))
 	}
+	return nil
 }
 
 // answered takes the final answer to a set-up that was sent on this server's connections. One that crossed our CANCEL
 // stands on the other side, is acknowledged and released. The number in CSeq tells attempts of one call
 // apart no more than the Call-ID does: case servers answer with 1 whatever they were sent.
-func (l *line) answered(m *message) {
+func (l *line) answered(m *message) error {
 	t := l.p.t
 	id := string(m.callID)
 	leg := t.legs[id]
@@ -569,7 +606,10 @@
 	}
 	if !ours && !crossed { // a second copy, or nothing that was ever asked: it changes nothing
 		t.count.Unknown++
-		return
+		return nil
+	}
+	if ours && !leg.standing && m.status < 300 && !sound(m.body) {
+		return errSpoilt
 	}
 	l.write(request(t.buf[:0], "ACK", id, id, m.cseq, "ACK").body(nil))
 	switch {
@@ -587,6 +627,7 @@
 		t.count.Crossed++
 		l.write(bye(t.buf[:0], id, m.cseq+1, threadglade.Cancelled))
 	}
+	return nil
 }
 
 var words = map[string]threadglade.Cause{"blocked": threadglade.CauseNoAgent, "bounced": threadglade.CauseTurnedBack,
@@ -615,17 +656,11 @@
 		how = threadglade.Concluded
 	}
 	id := string(m.callID)
-	leg := t.legs[id]
-	switch {
-	case leg == nil:
-		t.router.Orphan(id, how)
-	case leg.p != l.p || leg.on == nil:
-		// Another server's word on an attempt that has moved on.
-	case leg.standing:
+	if leg := t.legs[id]; leg != nil && leg.p == l.p && leg.standing {
 		t.end(leg, how, threadglade.CauseNone)
-	default:
-		t.end(leg, threadglade.Cut, threadglade.CauseNone)
+		return
 	}
+	t.router.Orphan(id, how)
 }
 
 func causeIs16(reason []byte) bool {
--- a/router/router.go
+++ b/router/router.go
@@ -357,10 +357,20 @@
 	})
 }
 
-// Orphan says that a server released a call that the trunk has no attempt for.
+// Orphan says that a server released a call that does not stand there as far as the trunk knows. If the call still
+// waits for its answer, the server's own was lost or spoilt on the way: the call has stood and is over, which
+// its caller has to hear instead of an answer to a repeat of it. One that was never known is of an earlier life.
 func (r *Router) Orphan(id string, how threadglade.Outcome) {
 	r.do(nil, func([]byte) {
-		if _, known := r.over[id]; known || r.calls[id] != nil || r.cfg.Orphan == nil {
+		if c := r.calls[id]; c != nil {
+			if !c.final {
+				r.count.Ghosts++
+				c.front.Failed(id, GivenUp)
+				r.leave(c)
+			}
+			return
+		}
+		if _, known := r.over[id]; known || r.cfg.Orphan == nil {
 			return
 		}
 		r.count.Orphans++
@@ -623,7 +633,8 @@
 // Counters count what a router has taken, sent and answered since its start.
 type Counters struct {
 	Requests, Repeated, Left, Stood, Refused, Failed, Overdue uint64
-	Attempts, Stopped, CallerReleases, Orphans, Lists, Faults uint64
+	Attempts, Stopped, CallerReleases, Orphans, Ghosts        uint64
+	Lists, Faults                                             uint64
 	Ends                                                      [8]uint64 // of attempts, by outcome
 	Calls, Known, Servers, Timers                             int       // table sizes: what is held now
 }
@@ -638,7 +649,7 @@
 func (c Counters) String() string {
 	return fmt.Sprintf("requests=%d repeated=%d left=%d stood=%d refused=%d failed=%d overdue=%d attempts=%d stopped=%d "+
 		"concluded=%d faulted=%d rejected=%d timed_out=%d unreachable=%d cut=%d cancelled=%d not_sent=%d "+
-		"caller_releases=%d orphans=%d lists=%d faults=%d calls=%d known=%d servers=%d timers=%d", c.Requests, c.Repeated, c.Left, c.Stood, c.Refused, c.Failed,
+		"caller_releases=%d orphans=%d ghosts=%d lists=%d faults=%d calls=%d known=%d servers=%d timers=%d", c.Requests, c.Repeated, c.Left, c.Stood, c.Refused, c.Failed,
 		c.Overdue, c.Attempts, c.Stopped, c.Ends[0], c.Ends[1], c.Ends[2], c.Ends[3], c.Ends[4], c.Ends[5], c.Ends[6],
-		c.Ends[7], c.CallerReleases, c.Orphans, c.Lists, c.Faults, c.Calls, c.Known, c.Servers, c.Timers)
+		c.Ends[7], c.CallerReleases, c.Orphans, c.Ghosts, c.Lists, c.Faults, c.Calls, c.Known, c.Servers, c.Timers)
 }
