Let the climb grow with the rate of calls, and take waiting set-ups for lost where many are

Ruled out: agents (spent is false throughout), full processors, release waits. Lines: control.adapt (climb), Controller.overtake, takes. Also the wait for the rest of an answer from 400 to 200 ms.

--- a/controller.go
+++ b/controller.go
@@ -31,6 +31,9 @@
 	// climb is the root of the page's climb in calls a second, per interval (k = 1/2, α = 0.2 in eq. 12).
 	// Varied.
 	climb = 0.1
+	// usual (ours) is the rate of calls at a server that climb is meant for; beyond, the climb grows with it,
+	// or a proxy with many calls would take minutes to climb back from one stray return. Not varied.
+	usual = 4
 	// cut is β of the page: the part of the admission rate that a return takes. Varied.
 	cut = 1.0 / 8
 	// idleAfter without a return frees a controller (the page's own; the paper has 100 s). Half of it
@@ -50,6 +53,8 @@
 	faultsMost = 3
 	// faultsOfCall (ours) faults of one call are its own: another server would say the same. Not varied.
 	faultsOfCall = 2
+	// lossLeast (ours) is the part of set-ups lost from which one that waits is taken to be. Not varied.
+	lossLeast = 0.1
 	// forgetAfter (ours) is how long a server that is gone is known, should it come back. Not varied.
 	forgetAfter = time.Minute
 	// stopShare (ours) of the aim is the age from which an unanswered set-up stops its server: a queue is
@@ -107,6 +112,7 @@
 	longest    time.Duration            // of the classes' deadlines
 	holding    time.Duration            // mean over the classes
 	lastLate   time.Duration            // when the last late call came
+	loss       float64                  // smoothed part of the set-ups that a later one overtook
 	own        meter                    // first tries at this proxy
 	all        int                      // calls of all proxies that hold, as told
 	allAgents  int                      // agents of all servers, as told
@@ -160,8 +166,6 @@
 	barred      time.Duration // no calls before then
 	out         int           // own set-ups unanswered
 	overdue     []*call       // of them, those past their stop age
-	probe       time.Duration // no set-up before then while some are overdue
-	lossy       time.Duration // when one was last found to be lost
 	passed      time.Duration // when the latest set-up that it answered was sent
 	failures    int           // set-ups in a row that it failed
 	faults      int           // set-ups that it found fault with since its last answer
@@ -515,6 +519,7 @@
 	}
 	k.at.latest, k.at.answered, k.at.faults = e.After, c.now, 0
 	k.at.passed = max(k.at.passed, k.sent)
+	c.loss -= smoothing * c.loss
 	for _, older := range slices.Clone(k.at.overdue) {
 		c.overtake(older)
 	}
@@ -612,18 +617,22 @@
 	}
 }
 
+// overtake finds whether a set-up sent later was answered while the call's waits: a processor takes them in
 // order, so this one, or its answer, was lost and tells nothing of the server. It is given up and placed
-// again while that can come in time. Guards against connections that lose some messages; it does harm where
-// a server works on set-ups in another order.
+// again while that can come in time. Where many are lost, any that waits as long is taken to be. Guards
+// against connections that lose messages; it does harm where a server works in another order.
 func (c *Controller) overtake(k *call) bool {
 	s := k.at
-	if s.passed <= k.sent || c.now-k.sent < max(k.stopAge(), 3*s.latest) {
-		return false
+	passed := s.passed > k.sent
+	if !passed && c.loss < lossLeast || c.now-k.sent < max(k.stopAge(), 3*s.latest) {
+		return k.lost
+	}
+	if passed && !k.lost {
+		c.loss += smoothing * (1 - c.loss)
 	}
 	if c.clear(k); len(s.overdue) == 0 {
 		s.trial = 0
 	}
-	s.lossy = c.now
 	wait := c.set.Rules.ReleaseWait + s.latest
 	if !k.lost && c.set.Limits.Cancel && k.class.Repeat == RepeatFree &&
 		k.attempts < c.set.Limits.MaxAttempts && c.now+wait < k.deadline {
@@ -710,8 +719,6 @@
 			k.overdue = true
 			k.at.overdue = append(k.at.overdue, k)
 			k.at.trial = 1
-			// Where some were lost of late, one set-up shows in a while whether this one was, too.
-			k.at.probe = c.now + k.stopAge()<<min(len(k.at.overdue)-1, 6)
 		}
 		return
 	case k.closed || k.resume == 0 || c.now < k.resume:
@@ -832,8 +839,7 @@
 
 // takes says whether the server may be sent the call at all.
 func (c *Controller) takes(s *server, k *call) bool {
-	tried := s.trial > 0 && s.out-len(s.overdue) >= s.trial ||
-		len(s.overdue) > 0 && (c.now < s.probe || s.lossy == 0 || c.now-s.lossy >= idleAfter)
+	tried := len(s.overdue) > 0 || s.trial > 0 && s.out >= s.trial
 	return s.State == Up && c.now >= s.barred && !tried && c.skilled(s, k.class) && !c.hopeless(s, k) &&
 		!c.spent(s)
 }
@@ -945,7 +951,7 @@
 	default:
 		d.climbing += span
 		step := climb * float64(d.climbing)
-		d.rate = d.left + step*step*min(1, lambda)
+		d.rate = d.left + step*step*max(min(1, lambda), lambda/usual)
 	}
 	d.gap = 0
 	if d.rate < lambda && d.rate > 0 {
--- a/controller_test.go
+++ b/controller_test.go
@@ -350,6 +350,14 @@
 	}
 }
 
+// The climb grows with the calls: a proxy with 80 a second, whose rate one stray return had cut, was kept below them
+// for the rest of a day.
+func TestClimbGrowsWithTheRateOfCalls(t *testing.T) {
+	d := control{active: true, meter: meter{spacing: 12500 * time.Microsecond}, rate: 60, left: 60, answers: 1}
+	d.adapt(time.Second)
+	near(t, "rate", d.rate, 60+0.01*80/usual)
+}
+
 // A set-up that a later one has overtaken was lost on the way: it is given up and placed again, after the wait and at
 // the same server too, which goes on taking calls. On a day on which connections lost every third message, one
 // lost set-up at each server closed both until its time was up, and nine calls of ten were refused.
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -25,7 +25,7 @@
 	watchEvery = 100 * time.Millisecond
 	// answerWithin is how long a message of a server may take from its first byte until it is whole. Servers write
 	// one at once; what stops short will not go on, nor will anything else on that connection.
-	answerWithin = 400 * time.Millisecond
+	answerWithin = 200 * time.Millisecond
 	// deadFor is how long the other side has to end a connection that this one has ended.
 	deadFor = 500 * time.Millisecond
 	// givenFor is how long an attempt that was given up is known, in case its answer has crossed the CANCEL.
