Tell distance, stray returns and lone lost set-ups apart from load

Checked with what stopped each server at each refusal: 158 of about 600 both by one overdue set-up, 78 by a gap beside one; the overdue ones were answered 3 to 10 ms later (answers from the other zone take 46 ms, the stop came at 60) or never. Gaps had been cut by an eighth a second for one late answer among tens.

--- a/controller.go
+++ b/controller.go
@@ -31,9 +31,10 @@
 	// climb is the root of the page's climb in calls a second, per interval (k = 1/2, α = 0.2 in eq. 12).
 	// Varied.
 	climb = 0.1
-	// usual (ours) is the rate of calls at a server that climb is meant for; beyond, the climb grows with it,
-	// or a proxy with many calls would take minutes to climb back from one stray return. Not varied.
+	// usual (ours) calls a second at a server are what climb is meant for; beyond, it grows. Not varied.
 	usual = 4
+	// stray (ours) admissions or more for one return make it no sign of load. Not varied.
+	stray = 20
 	// cut is β of the page: the part of the admission rate that a return takes. Varied.
 	cut = 1.0 / 8
 	// idleAfter without a return frees a controller (the page's own; the paper has 100 s). Half of it
@@ -47,9 +48,7 @@
 	// lateShare (ours) of the aim is the age from which a set-up is a return. Varied; 0.35 helps a little
 	// where proxies are many and costs 0.03 where they are few.
 	lateShare = 0.5
-	// faultsMost (ours) faults in a row, without an answer between, rest a server: fewer speak of their
-	// calls, which may be such as no server can use. Guards against callers whose calls would keep a sound
-	// server from all others; it does harm where a server fails many calls, but not most. Not varied.
+	// faultsMost (ours) faults in a row rest a server: fewer may speak of their calls. Not varied.
 	faultsMost = 3
 	// faultsOfCall (ours) faults of one call are its own: another server would say the same. Not varied.
 	faultsOfCall = 2
@@ -136,7 +135,6 @@
 	due      time.Duration // when its aim ends, counted from its first try
 	at       *server       // of the latest attempt
 	sent     time.Duration
-	overdue  bool          // the latest attempt is out past its stop age
 	lost     bool          // the latest attempt was overtaken: it never came to be worked on
 	returned bool          // the latest attempt was counted as a return
 	faults   int           // attempts that a server found fault with
@@ -167,6 +165,8 @@
 	out         int           // own set-ups unanswered
 	overdue     []*call       // of them, those past their stop age
 	passed      time.Duration // when the latest set-up that it answered was sent
+	base        time.Duration // age of its quickest answers
+	probe       time.Duration // no set-up before then while some are overdue
 	failures    int           // set-ups in a row that it failed
 	faults      int           // set-ups that it found fault with since its last answer
 	goneAt      time.Duration // when the list last named it as gone
@@ -310,8 +310,7 @@
 	}
 }
 
-// leaveOut takes the agents of servers that are gone out of the sums, for their calls are cut and a share of
-// what is left is meant, and in the end forgets such servers.
+// leaveOut takes the agents of servers that are gone out of the sums and in the end forgets such servers.
 func (c *Controller) leaveOut() {
 	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
 		switch {
@@ -524,6 +523,10 @@
 		c.overtake(older)
 	}
 	k.at.tried(e.After < k.stopAge())
+	if k.at.base == 0 || e.After < k.at.base {
+		k.at.base = e.After
+	}
+	k.at.base += (e.After - k.at.base) / 500
 	if e.After < k.lateAge() {
 		k.at.failures = 0
 		k.at.answers++
@@ -597,24 +600,20 @@
 	return k.aim(lateShare)
 }
 
-// stopAge is the age at which an unanswered set-up keeps further calls from its server.
+// stopAge is when an unanswered set-up stops its server: later than distance alone makes an answer.
 func (k *call) stopAge() time.Duration {
-	return k.aim(stopShare)
+	return max(k.aim(stopShare), 2*k.at.base)
 }
 
-// answered takes the call's latest attempt off its server's unanswered ones.
+// answered takes the call's latest attempt off its server's unanswered ones, settled off the overdue.
 func (c *Controller) answered(k *call) {
 	k.out = false
 	k.at.out--
-	c.clear(k)
+	k.settled()
 }
 
-// clear takes the call off its server's overdue ones.
-func (c *Controller) clear(k *call) {
-	if k.overdue {
-		k.overdue = false
-		k.at.overdue = slices.DeleteFunc(k.at.overdue, func(o *call) bool { return o == k })
-	}
+func (k *call) settled() {
+	k.at.overdue = slices.DeleteFunc(k.at.overdue, func(o *call) bool { return o == k })
 }
 
 // overtake finds whether a set-up sent later was answered while the call's waits: a processor takes them in
@@ -630,7 +629,7 @@
 	if passed && !k.lost {
 		c.loss += smoothing * (1 - c.loss)
 	}
-	if c.clear(k); len(s.overdue) == 0 {
+	if k.settled(); len(s.overdue) == 0 {
 		s.trial = 0
 	}
 	wait := c.set.Rules.ReleaseWait + s.latest
@@ -715,10 +714,13 @@
 		if c.now-k.sent >= k.lateAge() {
 			c.count(k)
 		}
-		if c.now-k.sent >= k.stopAge() && !k.overdue {
-			k.overdue = true
-			k.at.overdue = append(k.at.overdue, k)
-			k.at.trial = 1
+		if s := k.at; c.now-k.sent >= k.stopAge() && !slices.Contains(s.overdue, k) {
+			s.overdue = append(s.overdue, k)
+			s.trial, s.probe = 1, c.now+forgetAfter
+			// Where calls are many, one more soon shows whether this one was lost.
+			if s.lambda() > 5*usual {
+				s.probe = c.now + k.stopAge()<<min(len(s.overdue)-1, 6)
+			}
 		}
 		return
 	case k.closed || k.resume == 0 || c.now < k.resume:
@@ -839,7 +841,7 @@
 
 // takes says whether the server may be sent the call at all.
 func (c *Controller) takes(s *server, k *call) bool {
-	tried := len(s.overdue) > 0 || s.trial > 0 && s.out >= s.trial
+	tried := len(s.overdue) > 0 && c.now < s.probe || s.trial > 0 && s.out-len(s.overdue) >= s.trial
 	return s.State == Up && c.now >= s.barred && !tried && c.skilled(s, k.class) && !c.hopeless(s, k) &&
 		!c.spent(s)
 }
@@ -937,7 +939,7 @@
 	}
 	lambda := d.lambda()
 	switch {
-	case returns > 0:
+	case returns > 0 && returns*stray > admissions:
 		ratio := 1.0
 		if admissions > 0 {
 			ratio = float64(returns) / float64(admissions)
--- a/controller_test.go
+++ b/controller_test.go
@@ -358,6 +358,54 @@
 	near(t, "rate", d.rate, 60+0.01*80/usual)
 }
 
+// One return among many admissions is no sign of load: where a proxy has tens of calls a second, some answer is late
+// in every interval, and each cut the rate by an eighth.
+func TestStrayReturnCutsNoRate(t *testing.T) {
+	d := control{active: true, meter: meter{spacing: 25 * ms}, rate: 30, left: 30, admissions: 40, returns: 1}
+	d.adapt(time.Second)
+	if d.rate < 30 {
+		t.Errorf("rate cut to %v for one return in 40", d.rate)
+	}
+	d.admissions, d.returns = 39, 2
+	d.adapt(2 * time.Second)
+	if d.rate >= 30 {
+		t.Errorf("rate %v not cut for two returns in 39", d.rate)
+	}
+}
+
+// What an answer takes by distance alone stops no server: across zones, with short aims, every second set-up did.
+func TestDistanceStopsNoServer(t *testing.T) {
+	r := newRig(t, settings(), two()[:1]...)
+	id, _ := r.call("plain")
+	r.do(Stood{Call: id, Server: "a", After: 150 * ms})
+	_, first := r.call("plain")
+	r.wait(200 * ms)
+	r.fire(first)
+	if id, got := r.call("plain"); sentTo(got, id) != "a" {
+		t.Error("stopped at a fifth of the aim, within twice the time of an answer")
+	}
+}
+
+// Where calls are many, one more goes to a server with an overdue set-up after a while; its answer shows that the
+// first was lost. Both servers used to stay stopped for one lost set-up each until its time was up.
+func TestProbePastALostSetUp(t *testing.T) {
+	for spacing, want := range map[time.Duration]string{20 * ms: "a", 100 * ms: ""} {
+		r := newRig(t, settings(), two()[:1]...)
+		_, first := r.call("plain")
+		r.c.byID["a"].spacing = spacing
+		r.wait(200 * ms)
+		r.fire(first)
+		if id, got := r.call("plain"); sentTo(got, id) != "" {
+			t.Error("sent at once")
+		}
+		r.wait(200 * ms)
+		r.c.byID["a"].spacing = spacing
+		if id, got := r.call("dear"); sentTo(got, id) != want {
+			t.Errorf("spacing %v: sent to %q, want %q", spacing, sentTo(got, id), want)
+		}
+	}
+}
+
 // A set-up that a later one has overtaken was lost on the way: it is given up and placed again, after the wait and at
 // the same server too, which goes on taking calls. On a day on which connections lost every third message, one
 // lost set-up at each server closed both until its time was up, and nine calls of ten were refused.
