--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -593,6 +593,13 @@
 	run(`log "list: server s1 number 1 state 0"`)
 }
 
+// counters are those of the node, asked on its loop.
+func (w *world) counters() string {
+	counters := make(chan string, 1)
+	w.node.Loop.Post(func() { counters <- w.node.Counters() })
+	return <-counters
+}
+
 // A flood on one connection gets its refusals at once; the other connections are served as ever.
 func TestFlood(t *testing.T) {
 	w := play(t, open+"b open")
@@ -610,7 +617,7 @@
 		require.Equal(t, "1000", m.(sipMessage).header["Come-Back-Ms"])
 		refused++
 	}
-	require.Contains(t, w.node.Counters(), fmt.Sprintf("Flooded:%d", 400-64))
+	require.Contains(t, w.counters(), fmt.Sprintf("Flooded:%d", 400-64))
 	require.NoError(t, w.do("b send OPTIONS x"))
 	require.NoError(t, w.do("b expect 200 OPTIONS x"))
 }
@@ -645,9 +652,7 @@
 wait 31s
 list s1
 log "list: server s1"`)
-	counters := make(chan string)
-	w.node.Loop.Post(func() { counters <- w.node.Counters() })
-	text := <-counters
+	text := w.counters()
 	for _, size := range []string{" calls=0 ", " known=0 ", " servers=1 ", "Open:0 ", "Owed:0}", "Peers:1 ", "Legs:0 ", "Given:0}"} {
 		require.Contains(t, text, size)
 	}
