Test on sockets that a lost set-up is given up and sent again after the wait

Seen: the action GiveUp had tests in the decisions alone; on the wire nothing guarded its CANCEL and the 200 ms after it.

--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -492,6 +492,24 @@
 s1 expect BYE c1
 a expect silence`,
 
+	// A set-up that a later one has overtaken was lost: it is given up on the wire and sent again after the wait.
+	"a lost set-up": open + `
+a send INVITE c1
+s0 expect INVITE c1
+wait 10ms
+a send INVITE c2
+s0 expect INVITE c2
+s0 send 200 INVITE c2 Body=x
+a expect 200 INVITE c2
+wait 200ms
+s0 expect CANCEL c1
+wait 180ms
+s0 expect silence
+wait 30ms
+s0 expect INVITE c1
+s0 send 200 INVITE c1 Body=y
+a expect 200 INVITE c1 Body=y`,
+
 	// Second copies and answers that nobody asked for change nothing: they are not even acknowledged.
 	"answers that belong to nobody": open + `
 a send INVITE c1
