--- a/cmd/threadglade/main.go
+++ b/cmd/threadglade/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"threadglade.example/threadglade/internal/callcontrol"
@@ -59,7 +60,7 @@
 		return err
 	}
 	node.Limit(c)
-	log := node.Logger(os.Stderr, c.Name)
+	log := node.Logger(os.Stderr, c.Name, zerolog.InfoLevel, false)
 	n, err := node.New(c, router.SystemClock(), log)
 	if err != nil {
 		return err
--- a/internal/callcontrol/callcontrol.go
+++ b/internal/callcontrol/callcontrol.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+	"github.com/rs/zerolog"
 
 	"threadglade.example/threadglade"
 	"threadglade.example/threadglade/internal/identity"
@@ -100,7 +101,7 @@
 	if c.Sockets < 1 {
 		return c, fmt.Errorf("%s: sockets: %d is not positive", path, c.Sockets)
 	}
-	if _, err := identity.New(c.Identity(), nil); err != nil {
+	if _, err := identity.New(c.Identity(), zerolog.Nop()); err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
@@ -116,7 +117,7 @@
 	router     *router.Router
 	clock      router.Clock
 	verify     Verify
-	log        func(string, ...any)
+	log        zerolog.Logger
 	socks      map[*socket]bool
 	calls      map[string]*call // by the router's id
 	owned      map[string]int   // calls of each identity
@@ -148,7 +149,7 @@
 
 // New makes the front.
 func New(cfg Config, classes []threadglade.Class, r *router.Router, clock router.Clock, verify Verify,
-	log func(string, ...any)) *Front {
+	log zerolog.Logger) *Front {
 	f := &Front{cfg: cfg, classes: map[string]threadglade.Class{}, router: r, clock: clock, verify: verify, log: log,
 		socks: map[*socket]bool{}, calls: map[string]*call{}, owned: map[string]int{}}
 	for _, c := range classes {
@@ -168,7 +169,7 @@
 // The address stays that of the start, and no call or socket is forgotten.
 func (f *Front) Reconfigure(c Config) {
 	if c.Addr != f.cfg.Addr {
-		f.log("call control: listen has changed, which takes a restart")
+		f.log.Warn().Str("event", "callcontrol_listen").Msg("call control: listen has changed, which takes a restart")
 		c.Addr = f.cfg.Addr
 	}
 	f.cfg = c
@@ -245,10 +246,10 @@
 }
 
 // complain logs what a client did wrong, now and then: a bad client can repeat it at will.
-func (f *Front) complain(format string, args ...any) {
+func (f *Front) complain(event, format string, args ...any) {
 	if now := f.clock(); f.complained == 0 || now-f.complained >= complainEvery {
 		f.complained = now
-		f.log(format, args...)
+		f.log.Warn().Str("event", event).Msgf(format, args...)
 	}
 }
 
@@ -311,7 +312,7 @@
 	caller, err := s.f.verify(h.bearer)
 	if err != nil {
 		s.f.count.Unauthorised++
-		s.f.complain("call control: %s turned away: %v", s.conn.Remote(), err)
+		s.f.complain("callcontrol_turned", "call control: %s turned away: %v", s.conn.Remote(), err)
 		if errors.Is(err, identity.ErrNoBundle) {
 			s.turn("503 Service Unavailable", "Retry-After: 1\r\n")
 		} else {
@@ -347,7 +348,7 @@
 
 func (s *socket) fault(err *fault) {
 	s.f.count.Faults++
-	s.f.complain("call control: %s: %v", s.caller.ID, err)
+	s.f.complain("callcontrol_fault", "call control: %s: %v", s.caller.ID, err)
 	s.close(err.code, err.text)
 }
 
@@ -440,7 +441,7 @@
 func (s *socket) put(v any) {
 	text, err := json.Marshal(v)
 	if err != nil {
-		s.f.log("call control: %v", err)
+		s.f.log.Warn().Str("event", "callcontrol_fault").Msgf("call control: %v", err)
 		return
 	}
 	s.write(opText, text)
@@ -551,7 +552,8 @@
 	s.notify("call.placed", map[string]any{"call": c.id, "request": c.waiting})
 	s.f.router.Arrive(c, router.Request{ID: c.id, Class: p.Class, Number: p.Number, Description: []byte(p.Description),
 		Destination: destination, Retry: p.Retry,
-		Deadline: s.heard + time.Duration(p.Within)*time.Millisecond - answerEarly})
+		Deadline: s.heard + time.Duration(p.Within)*time.Millisecond - answerEarly, Caller: s.conn.Remote().Addr(),
+		Identity: s.caller.ID, Front: "callcontrol"})
 	return nil
 }
 
@@ -686,7 +688,8 @@
 			return
 		}
 		c.f.count.Unclaimed++
-		c.f.log("call control: call %s of %s was not claimed", c.id, c.owner)
+		c.f.log.Info().Str("event", "callcontrol_unclaimed").Str("call", c.id).Str("identity", c.owner).
+			Msgf("call control: call %s of %s was not claimed", c.id, c.owner)
 		if c.stands && !c.over {
 			c.f.router.Release(c.id)
 		}
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/spiffe/go-spiffe/v2/bundle/jwtbundle"
 	"github.com/spiffe/go-spiffe/v2/spiffeid"
 	"github.com/spiffe/go-spiffe/v2/svid/jwtsvid"
@@ -41,7 +42,7 @@
 type Verifier struct {
 	policy  atomic.Pointer[policy]
 	bundles atomic.Pointer[jwtbundle.Set]
-	log     func(string, ...any)
+	log     zerolog.Logger
 }
 
 // policy says whom to let in.
@@ -53,7 +54,7 @@
 }
 
 // New checks the configuration. The error names the field that is wrong.
-func New(c Config, log func(string, ...any)) (*Verifier, error) {
+func New(c Config, log zerolog.Logger) (*Verifier, error) {
 	v := &Verifier{log: log}
 	return v, v.Reconfigure(c)
 }
@@ -109,7 +110,7 @@
 	go func() {
 		defer client.Close()
 		if err := client.WatchJWTBundles(ctx, v); err != nil && ctx.Err() == nil {
-			v.log("identity: the watch of the trust bundles has ended: %v", err)
+			v.log.Error().Str("event", "identity_watch_ended").Msgf("identity: the watch of the trust bundles has ended: %v", err)
 		}
 	}()
 	return nil
@@ -118,11 +119,13 @@
 // OnJWTBundlesUpdate takes new bundles.
 func (v *Verifier) OnJWTBundlesUpdate(set *jwtbundle.Set) {
 	v.bundles.Store(set)
-	v.log("identity: trust bundles of %d domains", set.Len())
+	v.log.Info().Str("event", "identity_bundles").Int("domains", set.Len()).Msgf("identity: trust bundles of %d domains", set.Len())
 }
 
 // OnJWTBundlesWatchError hears of trouble with the Workload API; the bundles at hand go on to serve.
-func (v *Verifier) OnJWTBundlesWatchError(err error) { v.log("identity: Workload API: %v", err) }
+func (v *Verifier) OnJWTBundlesWatchError(err error) {
+	v.log.Warn().Str("event", "identity_watch").Msgf("identity: Workload API: %v", err)
+}
 
 // Verify checks a token and who it speaks for.
 func (v *Verifier) Verify(token string) (Caller, error) {
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"threadglade.example/threadglade/internal/identity/identitytest"
@@ -18,7 +19,7 @@
 	updated := make(chan bool, 9)
 	v, err := New(Config{TrustDomain: "branch.example", Audience: "threadglade", WorkloadAPI: address,
 		Allowed: []string{"spiffe://branch.example/desk/*", "spiffe://branch.example/ops"}},
-		func(string, ...any) { updated <- true })
+		zerolog.New(notice(updated)))
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -70,7 +71,7 @@
 func TestConfig(t *testing.T) {
 	good := Config{TrustDomain: "branch.example", Audience: "a", WorkloadAPI: "unix:///run/x.sock",
 		Allowed: []string{"spiffe://branch.example/desk/*"}}
-	_, err := New(good, nil)
+	_, err := New(good, zerolog.Nop())
 	require.NoError(t, err)
 	for field, change := range map[string]func(*Config){
 		"trust_domain": func(c *Config) { c.TrustDomain = "A B" },
@@ -80,7 +81,12 @@
 	} {
 		bad := good
 		change(&bad)
-		_, err := New(bad, nil)
+		_, err := New(bad, zerolog.Nop())
 		require.ErrorContains(t, err, field)
 	}
 }
+
+// notice is told of every log event.
+type notice chan bool
+
+func (n notice) Write(b []byte) (int, error) { n <- true; return len(b), nil }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"threadglade.example/threadglade"
 	"threadglade.example/threadglade/internal/callcontrol"
 	"threadglade.example/threadglade/internal/loop"
@@ -138,7 +140,7 @@
 	Reload func() error
 	config Config
 	clock  router.Clock
-	log    func(string, ...any)
+	log    zerolog.Logger
 	front  *sip.Front
 	second *callcontrol.Front // nil where it is off
 	trunk  *sip.Trunk
@@ -146,15 +148,26 @@
 	listen *loop.Listener
 }
 
-// Logger writes lines with the time and the router's name.
-func Logger(w io.Writer, name string) func(string, ...any) {
-	return func(format string, args ...any) {
-		fmt.Fprintf(w, "%s %s %s\n", time.Now().UTC().Format("15:04:05.000"), name, fmt.Sprintf(format, args...))
-	}
+// Logger writes one event a line with the time, the level and the router's name: as text for people or, with asJSON, as
+// one JSON object.
+func Logger(w io.Writer, name string, level zerolog.Level, asJSON bool) zerolog.Logger {
+	if !asJSON {
+		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: "15:04:05.000", TimeLocation: time.UTC,
+			PartsOrder:    []string{zerolog.TimestampFieldName, "router", zerolog.LevelFieldName, zerolog.MessageFieldName},
+			FieldsExclude: []string{"router"}, FormatPartValueByName: func(v any, _ string) string { return fmt.Sprint(v) }}
+	}
+	return zerolog.New(w).Level(level).With().Str("router", name).Logger().Hook(stamp{})
+}
+
+// stamp puts the time on an event, to the millisecond and in UTC.
+type stamp struct{}
+
+func (stamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format("2006-01-02T15:04:05.000Z07:00"))
 }
 
 // New opens the sockets of a call router. Nothing is served before Run.
-func New(c Config, clock router.Clock, log func(string, ...any)) (*Node, error) {
+func New(c Config, clock router.Clock, log zerolog.Logger) (*Node, error) {
 	l, err := loop.New()
 	if err != nil {
 		return nil, err
@@ -179,7 +192,7 @@
 	if n.listen, err = l.Listen(c.Listen, n.front.Accept); err != nil {
 		return nil, err
 	}
-	log("serving on %s: %d servers known, list %d, name service %s", n.listen.Addr(), len(c.Servers), c.Cursor, c.Resolver)
+	log.Info().Str("event", "serving").Stringer("address", n.listen.Addr()).Msgf("serving on %s: %d servers known, list %d, name service %s", n.listen.Addr(), len(c.Servers), c.Cursor, c.Resolver)
 	return n, nil
 }
 
@@ -196,7 +209,7 @@
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	n.log("call control on %s", listen.Addr())
+	n.log.Info().Str("event", "callcontrol_serving").Msgf("call control on %s", listen.Addr())
 	return listen.Addr(), nil
 }
 
@@ -210,7 +223,7 @@
 	for _, s := range servers {
 		ev.Servers = append(ev.Servers, s.Server)
 		if !stored {
-			n.log("list: server %s number %d state %d started %d", s.ID, s.Number, s.State, s.Started.Milliseconds())
+			n.log.Info().Str("event", "server_listed").Str("server", s.ID).Int("state", int(s.State)).Msgf("list: server %s number %d state %d started %d", s.ID, s.Number, s.State, s.Started.Milliseconds())
 		}
 	}
 	n.Router.List(ev)
@@ -220,14 +233,14 @@
 // Run serves until Shutdown has been called and nothing is owed any more.
 func (n *Node) Run() error {
 	err := n.Loop.Run(n.Router.Tick)
-	n.log("counters %s", n.Counters())
+	n.log.Info().Str("event", "counters").Msgf("counters %s", n.Counters())
 	n.Loop.Close()
 	return err
 }
 
 // Shutdown ends Run once nothing is owed, and not before callers have had time to turn elsewhere.
 func (n *Node) Shutdown() {
-	n.log("told to end: %d requests open", n.Router.Open())
+	n.log.Info().Str("event", "ending").Msgf("told to end: %d requests open", n.Router.Open())
 	earliest := n.clock() + stayFor
 	latest := earliest + flushFor
 	var look func()
@@ -266,12 +279,12 @@
 		"seed": c.Seed == old.Seed, "settings": reflect.DeepEqual(c.Settings, old.Settings) &&
 			c.ConnectTimeout == old.ConnectTimeout && c.Free == old.Free && c.Total == old.Total} {
 		if !same {
-			n.log("configuration: %s has changed, which takes a restart", name)
+			n.log.Warn().Str("event", "config_waits").Str("field", name).Msgf("configuration: %s has changed, which takes a restart", name)
 		}
 	}
 	// What cannot change now is compared with what is in force the next time, too.
 	n.config.Resolver, n.config.MemoryMB, n.config.Sockets = c.Resolver, c.MemoryMB, c.Sockets
-	n.log("configuration read anew: name service %s, %d MB, %d sockets", c.Resolver, c.MemoryMB, c.Sockets)
+	n.log.Info().Str("event", "config_taken").Msgf("configuration read anew: name service %s, %d MB, %d sockets", c.Resolver, c.MemoryMB, c.Sockets)
 	return nil
 }
 
@@ -283,7 +296,7 @@
 		err = n.Apply(c)
 	}
 	if err != nil {
-		n.log("configuration not taken, the old one stays: %v", err)
+		n.log.Error().Str("event", "config_bad").Msgf("configuration not taken, the old one stays: %v", err)
 	}
 }
 
@@ -314,7 +327,7 @@
 		for s := range signals {
 			switch {
 			case s == syscall.SIGUSR1:
-				n.Loop.Post(func() { n.log("counters %s", n.Counters()) })
+				n.Loop.Post(func() { n.log.Info().Str("event", "counters").Msgf("counters %s", n.Counters()) })
 			case s == syscall.SIGHUP:
 				n.Loop.Post(n.reload)
 			case !ending:
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"threadglade.example/threadglade"
 	"threadglade.example/threadglade/internal/loop"
 	"threadglade.example/threadglade/internal/sip"
@@ -87,7 +89,7 @@
 	peer    netip.AddrPort
 	clock   router.Clock
 	at      func(time.Duration, func())
-	log     func(string, ...any)
+	log     zerolog.Logger
 	changed func([]sip.Server)
 	socket  *loop.Packets
 	serial  uint32
@@ -102,7 +104,7 @@
 
 // Follow asks for the list from now on; changed gets the whole list whenever its serial has grown past cursor.
 func Follow(l *loop.Loop, resolver netip.AddrPort, cursor uint32, clock router.Clock,
-	at func(time.Duration, func()), log func(string, ...any), changed func([]sip.Server)) (*Client, error) {
+	at func(time.Duration, func()), log zerolog.Logger, changed func([]sip.Server)) (*Client, error) {
 	c := &Client{loop: l, clock: clock, at: at, log: log, changed: changed, serial: cursor, id: uint16(clock() >> 10)}
 	if err := c.Move(resolver); err != nil {
 		return nil, err
@@ -153,7 +155,7 @@
 	c.id++
 	c.count.Queries++
 	if c.waiting++; c.waiting == staleAfter {
-		c.log("name service: no answer to %d queries", staleAfter)
+		c.log.Warn().Str("event", "names_stale").Msgf("name service: no answer to %d queries", staleAfter)
 	}
 	c.socket.Send(query(c.id))
 }
@@ -166,7 +168,7 @@
 	serial, servers, err := parse(b)
 	if err != nil {
 		c.count.Malformed++
-		c.log("name service: %v", err)
+		c.log.Warn().Str("event", "names_malformed").Msgf("name service: %v", err)
 		return
 	}
 	c.count.Answers++
@@ -175,7 +177,8 @@
 		if serial != c.serial {
 			c.count.Old++
 			if c.old != serial {
-				c.log("name service: list %d came after %d, not taken", serial, c.serial)
+				c.log.Warn().Str("event", "names_old").Uint32("list", serial).Uint32("known", c.serial).
+					Msgf("name service: list %d came after %d, not taken", serial, c.serial)
 			}
 			c.old = serial
 		}
--- a/internal/scenario/callcontrol_test.go
+++ b/internal/scenario/callcontrol_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"threadglade.example/threadglade/internal/identity"
@@ -361,7 +362,7 @@
 	api, k, updated := identitytest.New(t), identitytest.Key(t), make(chan bool, 9)
 	id := "spiffe://" + identitytest.Domain + "/desk/7"
 	v, err := identity.New(identity.Config{TrustDomain: identitytest.Domain, Audience: "threadglade", WorkloadAPI: api.Address,
-		Allowed: []string{id}}, func(string, ...any) { updated <- true })
+		Allowed: []string{id}}, zerolog.New(notice(updated)))
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -384,3 +385,8 @@
 		require.ErrorContains(t, w.do("w3 open id="+bad), "401", name)
 	}
 }
+
+// notice is told of every log event.
+type notice chan bool
+
+func (n notice) Write(b []byte) (int, error) { n <- true; return len(b), nil }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -33,6 +33,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
@@ -224,7 +225,7 @@
 		return err
 	}
 	clock := func() time.Duration { return time.Duration(w.clock.Load()) }
-	if w.node, err = node.New(c, clock, node.Logger(w, "n0")); err != nil {
+	if w.node, err = node.New(c, clock, node.Logger(w, "n0", zerolog.InfoLevel, false)); err != nil {
 		return err
 	}
 	if strings.Contains(flags, "callcontrol") {
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -390,7 +390,7 @@
 	k.open[id] = l
 	k.f.router.Arrive(l, router.Request{ID: id, Class: class.Name, Tenant: string(m.get("charged-party")),
 		Number: string(called), Description: m.body, Destination: destination, Retry: mark == "1",
-		Deadline: k.heard + within - answerEarly})
+		Deadline: k.heard + within - answerEarly, Caller: k.conn.Remote().Addr(), Front: "sip"})
 	return true
 }
 
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
 	"threadglade.example/threadglade"
@@ -54,7 +55,7 @@
 	Clock          router.Clock
 	ConnectTimeout time.Duration // from the settings
 	Free, Total    string        // names of the figures in a server's state
-	Log            func(format string, args ...any)
+	Log            zerolog.Logger
 }
 
 // Trunk carries attempts to case servers. A server is its id: an address may come to belong to another one.
@@ -156,19 +157,22 @@
 		p.server, p.gone = s, false
 		switch {
 		case old.Addr != s.Addr:
-			t.cfg.Log("server %s has moved to %s", s.ID, s.Addr)
+			t.cfg.Log.Info().Str("event", "server_moved").Str("server", s.ID).Stringer("address", s.Addr).
+				Msgf("server %s has moved to %s", s.ID, s.Addr)
 			p.cutAll(func(l *outLeg) bool { return l.on != nil })
 			p.hangUp()
 			p.connect()
 		case old.Started != s.Started:
-			t.cfg.Log("server %s started anew", s.ID)
+			t.cfg.Log.Info().Str("event", "server_restarted").Str("server", s.ID).Msgf("server %s started anew", s.ID)
 			p.restarted(s.Started)
 		}
 	}
 	for id, p := range t.peers {
 		if !named[id] && !p.gone {
 			p.gone = true
-			t.cfg.Log("server %s is gone, %d attempts cut", id, p.cutAll(func(*outLeg) bool { return true }))
+			cut := p.cutAll(func(*outLeg) bool { return true })
+			t.cfg.Log.Info().Str("event", "server_gone").Str("server", id).Int("cut", cut).
+				Msgf("server %s is gone, %d attempts cut", id, cut)
 			p.hangUp()
 			delete(t.peers, id)
 		}
@@ -279,7 +283,8 @@
 	if p.lostSince > 0 && now-p.lostSince > deadAfter && p.legs > 0 {
 		// What waits for a connection has its own, shorter time.
 		if n := p.cutAll(func(l *outLeg) bool { return l.on != nil }); n > 0 {
-			p.t.cfg.Log("server %s has been out of reach for %v, %d attempts cut", p.server.ID, deadAfter, n)
+			p.t.cfg.Log.Warn().Str("event", "server_dead").Str("server", p.server.ID).Int("cut", n).
+				Msgf("server %s has been out of reach for %v, %d attempts cut", p.server.ID, deadAfter, n)
 		}
 	}
 }
@@ -304,7 +309,7 @@
 		return
 	}
 	if p.lostSince > 0 {
-		p.t.cfg.Log("server %s is in reach again", p.server.ID)
+		p.t.cfg.Log.Info().Str("event", "server_reached").Str("server", p.server.ID).Msgf("server %s is in reach again", p.server.ID)
 	}
 	p.retire()
 	p.dial, p.line, p.lostSince = nil, l, 0
@@ -337,7 +342,7 @@
 		}
 		// Late: a line that is still open is one to a machine that says nothing any more.
 		if p.line != nil && now-p.line.heard > silentAfter {
-			p.t.cfg.Log("server %s is silent", p.server.ID)
+			p.t.cfg.Log.Warn().Str("event", "server_silent").Str("server", p.server.ID).Msgf("server %s is silent", p.server.ID)
 			p.retire()
 		}
 		return
@@ -354,7 +359,7 @@
 func (p *peer) lost(now time.Duration) {
 	if p.lostSince == 0 {
 		p.lostSince = now
-		p.t.cfg.Log("server %s is out of reach", p.server.ID)
+		p.t.cfg.Log.Warn().Str("event", "server_lost").Str("server", p.server.ID).Msgf("server %s is out of reach", p.server.ID)
 	}
 }
 
@@ -520,7 +525,7 @@
 	t.count.Malformed++
 	if p.complains == 0 || now-p.complains >= complainEvery {
 		p.complains = now
-		t.cfg.Log("server %s: %v, connection closed", p.server.ID, err)
+		t.cfg.Log.Warn().Str("event", "server_spoilt").Str("server", p.server.ID).Msgf("server %s: %v, connection closed", p.server.ID, err)
 	}
 	l.dead, l.by = true, now+deadFor
 	l.conn.Half()
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"threadglade.example/threadglade"
 	"threadglade.example/threadglade/router"
 )
@@ -34,7 +36,7 @@
 	// handler must have begun to answer. Where the request's own context ends earlier, that counts. The ID is
 	// the middleware's.
 	Describe func(r *http.Request, now time.Duration) router.Request
-	Log      func(format string, args ...any)
+	Log      zerolog.Logger // the zero value logs nothing
 	// Most requests may be in the core at once, 10,000 if 0: more are refused at once.
 	Most int
 }
--- a/router/router.go
+++ b/router/router.go
@@ -10,10 +10,13 @@
 	"bytes"
 	"container/heap"
 	"fmt"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"threadglade.example/threadglade"
 )
 
@@ -52,6 +55,11 @@
 	Deadline    time.Duration // by when the final answer must have been given, on the router's clock
 	Destination int           // number of the server of first choice
 	Retry       bool
+
+	// Who asks, as far as the front knows; told to the observer and to nobody else.
+	Caller   netip.Addr // where the request came from
+	Identity string     // SPIFFE id that the caller has proven
+	Front    string     // the front's name
 }
 
 // Attempt is a request on its way to one server, or standing there.
@@ -98,11 +106,16 @@
 	Seed     uint64
 	Clock    Clock
 	Trunk    Trunk
-	Log      func(format string, args ...any)
+	Log      zerolog.Logger // the zero value logs nothing
 	// Orphan hears of a release of a call that this router never knew: one of an earlier life. May be nil.
 	Orphan func(id string, how threadglade.Outcome)
 	// Stray hears of a caller's release of a call that this router never knew. May be nil.
 	Stray func(id string)
+	// Observer hears what happens; nil: nobody does, at no cost.
+	Observer Observer
+	// Admit, if set, is asked before a request is taken: false has it refused at once, with advice on when to come
+	// back (0: none). It stands before the decisions and never chooses a server.
+	Admit func(Request) (bool, time.Duration)
 	// Wake is called when a timer is set that is due before all others, by whichever goroutine set it; a loop
 	// that asks Next before it waits needs none.
 	Wake func()
@@ -174,9 +187,6 @@
 	if cfg.Clock == nil || cfg.Trunk == nil {
 		return nil, fmt.Errorf("router: Config needs a Clock and a Trunk")
 	}
-	if cfg.Log == nil {
-		cfg.Log = func(string, ...any) {}
-	}
 	return &Router{cfg: cfg, control: control, calls: map[string]*call{}, servers: map[string]*server{},
 		over: map[string]end{}}, nil
 }
@@ -224,6 +234,13 @@
 		r.calls[req.ID] = c
 		r.count.Requests++
 		r.open.Add(1)
+		r.observeArrival(c)
+		if r.cfg.Admit != nil {
+			if ok, after := r.cfg.Admit(req); !ok {
+				r.refuse(c, after)
+				return
+			}
+		}
 		r.at(req.Deadline+lateBy, func() { r.overdue(c) })
 		r.tell(threadglade.Arrival{Call: req.ID, Class: req.Class, Tenant: req.Tenant, Number: req.Number,
 			TimeLeft: req.Deadline - now, Destination: req.Destination, Retry: req.Retry})
@@ -237,6 +254,7 @@
 		if c := r.calls[id]; c != nil && !c.final && (front == nil || front == c.front) {
 			r.count.Left++
 			c.left = true
+			r.observe(Left, c)
 			r.leave(c)
 		}
 	})
@@ -255,6 +273,7 @@
 		if _, known := r.over[id]; !known && c == nil && r.cfg.Stray != nil && r.stray() {
 			r.count.Orphans++
 			r.remember(id, true)
+			r.observeRelease(StrayRelease, id, threadglade.Cancelled)
 			r.cfg.Stray(id)
 		}
 	})
@@ -286,7 +305,8 @@
 		return
 	}
 	r.count.Overdue++
-	r.cfg.Log("request %s: no answer by its deadline, failed here", c.ID)
+	r.cfg.Log.Error().Str("event", "request_overdue").Str("call", c.ID).Msgf("request %s: no answer by its deadline, failed here", c.ID)
+	r.observeFailure(c, DeadlinePast)
 	c.front.Failed(c.ID, DeadlinePast)
 	r.leave(c)
 }
@@ -326,11 +346,20 @@
 	if s.state == threadglade.Up || state == threadglade.Up {
 		s.told = now
 	}
-	s.state = state
+	if s.state = state; r.cfg.Observer != nil {
+		r.tellObserver(Event{Kind: Listed, Server: id, State: state})
+	}
 }
 
 // Agents takes a server's free agents.
-func (r *Router) Agents(a threadglade.Agents) { r.do(nil, func([]byte) { r.tell(a) }) }
+func (r *Router) Agents(a threadglade.Agents) {
+	r.do(nil, func([]byte) {
+		if r.cfg.Observer != nil {
+			r.tellObserver(Event{Kind: Reported, Server: a.Server, Free: a.Free, Total: a.Total})
+		}
+		r.tell(a)
+	})
+}
 
 // Answered says that a server has answered an attempt: the call stands.
 func (r *Router) Answered(id string, index int, description []byte) {
@@ -343,6 +372,7 @@
 		r.settle(c)
 		c.Description, c.attempt.Description = nil, nil
 		r.count.Stood++
+		r.observe(Stood, c)
 		c.front.Stood(id, b)
 		r.tell(threadglade.Stood{Call: id, Attempt: index, Server: c.attempt.Server, After: r.cfg.Clock() - c.sent})
 	})
@@ -365,6 +395,8 @@
 		if c := r.calls[id]; c != nil {
 			if !c.final {
 				r.count.Ghosts++
+				r.observeEnd(Ghost, c, how, threadglade.CauseNone)
+				r.observeFailure(c, GivenUp)
 				c.front.Failed(id, GivenUp)
 				r.leave(c)
 			}
@@ -375,6 +407,7 @@
 		}
 		r.count.Orphans++
 		r.remember(id, true)
+		r.observeRelease(OrphanRelease, id, how)
 		r.cfg.Orphan(id, how)
 	})
 }
@@ -387,6 +420,11 @@
 		c.hold = now + r.cfg.Settings.Rules.ReleaseWait
 	}
 	r.count.Ends[how]++
+	if c.standing {
+		r.observeEnd(Ended, c, how, cause)
+	} else {
+		r.observeEnd(AttemptEnded, c, how, cause)
+	}
 	if c.standing && release {
 		c.front.Released(c.ID, how)
 	}
@@ -399,6 +437,7 @@
 func (r *Router) forget(c *call) {
 	if c.final && !c.out && !c.standing && r.calls[c.ID] == c {
 		delete(r.calls, c.ID)
+		r.observe(Over, c)
 		c.Description, c.attempt.Description = nil, nil // timers may hold the call for a while
 		r.remember(c.ID, !c.left)
 	}
@@ -448,9 +487,7 @@
 			r.send(a)
 		case threadglade.Refuse:
 			if c := r.answer(a.Call); c != nil {
-				r.count.Refused++
-				c.front.Refused(c.ID, a.RetryAfter)
-				r.forget(c)
+				r.refused(c, a.RetryAfter)
 			}
 		case threadglade.Fail:
 			if c := r.answer(a.Call); c != nil {
@@ -459,6 +496,7 @@
 				if r.cfg.Clock()+r.cfg.Settings.Rules.ReleaseWait >= c.Deadline {
 					why = DeadlinePast
 				}
+				r.observeFailure(c, why)
 				c.front.Failed(c.ID, why)
 				r.forget(c)
 			}
@@ -483,7 +521,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			r.count.Faults++
-			r.cfg.Log("controller failed on %T: %v", event, p)
+			r.cfg.Log.Error().Str("event", "controller_failed").Msgf("controller failed on %T: %v", event, p)
 		}
 	}()
 	return r.control.Handle(r.cfg.Clock(), event)
@@ -498,11 +536,30 @@
 	if c.out {
 		r.cfg.Trunk.GiveUp(c.attempt)
 		c.out = false
+		r.observeEnd(AttemptEnded, c, threadglade.Cancelled, threadglade.CauseNone)
 	}
 	r.settle(c)
 	return c
 }
 
+// refuse turns a request away that the Controller has not heard of.
+func (r *Router) refuse(c *call, retryAfter time.Duration) {
+	r.settle(c)
+	if !r.cfg.Settings.Limits.RetryAfter {
+		retryAfter = 0
+	}
+	r.refused(c, min(retryAfter, r.cfg.Settings.Limits.MaxRetryAfter))
+}
+
+func (r *Router) refused(c *call, retryAfter time.Duration) {
+	r.count.Refused++
+	if r.cfg.Observer != nil {
+		r.tellObserver(Event{Kind: Refused, Call: c.ID, RetryAfter: retryAfter})
+	}
+	c.front.Refused(c.ID, retryAfter)
+	r.forget(c)
+}
+
 // settle notes that nothing is owed any more.
 func (r *Router) settle(c *call) {
 	c.final = true
@@ -513,7 +570,8 @@
 	c := r.calls[a.Call]
 	if c == nil || c.final || c.out {
 		r.count.Stopped++
-		r.cfg.Log("send of %s to %s stopped: the request is over or has an attempt out", a.Call, a.Server)
+		r.cfg.Log.Error().Str("event", "send_stopped").Str("call", a.Call).Str("server", a.Server).
+			Msgf("send of %s to %s stopped: the request is over or has an attempt out", a.Call, a.Server)
 		return
 	}
 	now := r.cfg.Clock()
@@ -527,7 +585,8 @@
 	c.attempts++
 	if why := r.forbidden(c, a.Server, now); why != "" {
 		r.count.Stopped++
-		r.cfg.Log("send of %s to %s stopped: %s", a.Call, a.Server, why)
+		r.cfg.Log.Error().Str("event", "send_stopped").Str("call", a.Call).Str("server", a.Server).
+			Msgf("send of %s to %s stopped: %s", a.Call, a.Server, why)
 		index := c.attempt.Index
 		r.do(nil, func([]byte) {
 			if c.out && c.attempt.Index == index {
@@ -537,6 +596,7 @@
 		return
 	}
 	r.count.Attempts++
+	r.observe(Sent, c)
 	index := c.attempt.Index
 	r.at(deadline, func() {
 		if c.out && c.attempt.Index == index {
