Keep a tenant usage ledger: intents before set-ups, ends before releases, exact exports

Need: the authorities are billed by tenant and period; each call has to be counted once and each period stated once, whatever dies when.

Off, there is no observer and no gate.

--- /dev/null
+++ b/cmd/threadglade/ledger.go
@@ -0,0 +1,405 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"threadglade.example/threadglade/internal/durable"
+	"threadglade.example/threadglade/internal/ledgerio"
+	"threadglade.example/threadglade/ledger"
+)
+
+// claimsMost claims are listed one by one.
+const claimsMost = 100
+
+func ledgerCommand() *cobra.Command {
+	root := &cobra.Command{Use: "ledger", Short: "Work on the files of the tenants' use; no router need be running",
+		Long: "Work on the files of the tenants' use; no router need be running.\nExit code 0: good, 1: a finding, 2: usage."}
+	asJSON := root.PersistentFlags().Bool("json", false, "print JSON")
+	add := func(cmd *cobra.Command, f func(cmd *cobra.Command, args []string) error) *cobra.Command {
+		args := cmd.Args
+		cmd.Args = func(cmd *cobra.Command, list []string) error { return usage(args(cmd, list)) }
+		cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+		cmd.RunE = func(cmd *cobra.Command, list []string) error {
+			err := f(cmd, list)
+			var e exit
+			if err != nil && !errors.As(err, &e) {
+				err = exit{exitFinding, err}
+			}
+			return err
+		}
+		root.AddCommand(cmd)
+		return cmd
+	}
+	root.RunE = func(cmd *cobra.Command, args []string) error {
+		return usage(errors.New("ledger: verify, show, export, correct or merge is wanted; see --help"))
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+
+	add(&cobra.Command{Use: "verify DIR", Short: "Check every byte of a ledger", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error { return verify(cmd.OutOrStdout(), args[0], *asJSON) })
+
+	var tenant, period string
+	show := add(&cobra.Command{Use: "show DIR", Short: "Print what a ledger holds, also of periods that are not closed", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			return show(cmd.OutOrStdout(), args[0], tenant, period, *asJSON)
+		})
+	show.Flags().StringVar(&tenant, "tenant", "", "only this tenant")
+	show.Flags().StringVar(&period, "period", "", "only the period that holds this time (2026-12-01T14:00:00Z)")
+
+	var to string
+	var keep time.Duration
+	export := add(&cobra.Command{Use: "export DIR --to OUT", Short: "State every closed period that has not been exported", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			return export(cmd.OutOrStdout(), args[0], to, keep, *asJSON)
+		})
+	export.Flags().StringVar(&to, "to", "", "folder for the exports")
+	export.Flags().DurationVar(&keep, "keep", ledgerio.Defaults().Keep, "how long what was exported is kept in the ledger")
+	export.MarkFlagRequired("to")
+
+	var c ledger.Correction
+	var at string
+	correct := add(&cobra.Command{Use: "correct DIR", Short: "Correct a figure of a period that was exported; it goes out with the next export", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			t, err := moment(at)
+			if err != nil {
+				return usage(err)
+			}
+			c.Period, c.At = t.UnixMilli(), time.Now().UnixMilli()
+			if err := c.Validate(); err != nil {
+				return usage(err)
+			}
+			entry, err := ledgerio.Correct(durable.OS{}, args[0], c)
+			if err != nil {
+				return err
+			}
+			c.Entry, c.Origin = entry, "operator"
+			return put(cmd.OutOrStdout(), *asJSON, c, func(w io.Writer) {
+				fmt.Fprintf(w, "correction %d: %s of %s, %s, %s by %+d\n", entry, c.Field, c.Tenant, c.Class, utc(c.Period), c.Delta)
+			})
+		})
+	correct.Flags().StringVar(&at, "period", "", "beginning of the period (2026-12-01T14:00:00Z)")
+	correct.Flags().StringVar(&c.Tenant, "tenant", "", "whose figure")
+	correct.Flags().StringVar(&c.Class, "class", "", "of which class")
+	correct.Flags().StringVar(&c.Field, "field", "", "which figure, such as held_ms")
+	correct.Flags().Int64Var(&c.Delta, "delta", 0, "by how much")
+	correct.Flags().StringVar(&c.Reason, "reason", "", "why")
+	correct.Flags().StringVar(&c.By, "by", "", "who says so")
+	for _, name := range []string{"period", "tenant", "class", "field", "delta", "reason", "by"} {
+		correct.MarkFlagRequired(name)
+	}
+
+	var csv, html string
+	merge := add(&cobra.Command{Use: "merge FILE...", Short: "Bring exports, or folders of them, together and report what is missing or there twice", Args: cobra.MinimumNArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			return merge(cmd.OutOrStdout(), args, csv, html, *asJSON)
+		})
+	merge.Flags().StringVar(&csv, "csv", "", "write the totals to this file")
+	merge.Flags().StringVar(&html, "html", "", "write a report to this file")
+	return root
+}
+
+// usage marks an error as one of the command line.
+func usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return exit{exitUsage, err}
+}
+
+// put prints a result as JSON or as text.
+func put(w io.Writer, asJSON bool, v any, text func(io.Writer)) error {
+	if !asJSON {
+		text(w)
+		return nil
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	return e.Encode(v)
+}
+
+func utc(ms int64) string { return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05Z") }
+
+func moment(text string) (time.Time, error) {
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return t, fmt.Errorf("period: %q is no time such as 2026-12-01T14:00:00Z", text)
+	}
+	return t, nil
+}
+
+// verdict is what verify prints.
+type verdict struct {
+	Good       bool     `json:"good"`
+	Error      string   `json:"error,omitempty"`
+	Router     string   `json:"router,omitempty"`
+	PeriodMs   int64    `json:"period_ms,omitempty"`
+	Segments   int      `json:"segments"`
+	Bytes      int64    `json:"bytes"`
+	Entries    uint64   `json:"entries"`
+	Open       int      `json:"open_calls"`
+	Statements uint64   `json:"statements"`
+	ClosedTo   string   `json:"closed_to,omitempty"`
+	Exported   uint64   `json:"exported"`
+	ExportedTo string   `json:"exported_to,omitempty"`
+	Interrupt  bool     `json:"export_interrupted"`
+	Corrected  int      `json:"corrections"`
+	Notes      []string `json:"notes"`
+}
+
+func verify(w io.Writer, dir string, asJSON bool) error {
+	v, err := ledgerio.Inspect(durable.OS{}, dir)
+	if err != nil {
+		if asJSON {
+			put(w, true, verdict{Error: err.Error(), Notes: []string{}}, nil)
+			return exit{exitFinding, nil}
+		}
+		return err
+	}
+	r := verdict{Good: true, Router: v.Terms.Router, PeriodMs: v.Terms.Length, Segments: v.Segments, Bytes: v.Bytes, Entries: v.Book.Entries,
+		Open: len(v.Book.Calls), Statements: v.Book.Sequence, Exported: v.Exported, Interrupt: v.Planned, Corrected: len(v.Corrections), Notes: []string{}}
+	if v.Book.Closed > 0 {
+		r.ClosedTo = utc(v.Book.Closed)
+	}
+	if v.ExportedTo > 0 {
+		r.ExportedTo = utc(v.ExportedTo)
+	}
+	for _, t := range v.Torn {
+		r.Notes = append(r.Notes, "cut off by a crash, does not count: "+t)
+	}
+	if v.Planned {
+		r.Notes = append(r.Notes, "an export was interrupted; the next goes on with it")
+	}
+	return put(w, asJSON, r, func(w io.Writer) {
+		fmt.Fprintf(w, "good: the ledger of %s by %v, %d segments, %d bytes, %d entries\n", r.Router, time.Duration(r.PeriodMs)*time.Millisecond,
+			r.Segments, r.Bytes, r.Entries)
+		fmt.Fprintf(w, "%d calls open, %d statements up to %s, %d exported up to %s, %d corrections\n", r.Open, r.Statements, r.ClosedTo,
+			r.Exported, r.ExportedTo, r.Corrected)
+		for _, n := range r.Notes {
+			fmt.Fprintln(w, "note:", n)
+		}
+	})
+}
+
+// shown is one line of show.
+type shown struct {
+	Period string           `json:"period"`
+	State  string           `json:"state"` // exported, closed, open, late or corrected
+	Tenant string           `json:"tenant"`
+	Class  string           `json:"class"`
+	Usage  map[string]int64 `json:"usage"`
+	usage  ledger.Usage
+}
+
+func show(w io.Writer, dir, tenant, period string, asJSON bool) error {
+	v, err := ledgerio.Inspect(durable.OS{}, dir)
+	if err != nil {
+		return err
+	}
+	only := int64(-1)
+	if period != "" {
+		t, err := moment(period)
+		if err != nil {
+			return usage(err)
+		}
+		only = v.Terms.Start(t.UnixMilli())
+	}
+	list := []shown{}
+	add := func(from int64, state string, key ledger.Key, u ledger.Usage) {
+		if (tenant == "" || tenant == key.Tenant) && (only < 0 || only == from) {
+			list = append(list, shown{utc(from), state, key.Tenant, key.Class, u.Map(), u})
+		}
+	}
+	totals := func(from int64, state string, m map[ledger.Key]*ledger.Usage) {
+		keys := slices.SortedFunc(maps.Keys(m), func(a, b ledger.Key) int {
+			return strings.Compare(a.Tenant+"\x00"+a.Class, b.Tenant+"\x00"+b.Class)
+		})
+		for _, key := range keys {
+			add(from, state, key, *m[key])
+		}
+	}
+	late := func(m map[int64]map[ledger.Key]*ledger.Usage) {
+		for _, from := range slices.Sorted(maps.Keys(m)) {
+			totals(from, "late", m[from])
+		}
+	}
+	for _, s := range v.Statements {
+		state := "closed"
+		if s.Sequence <= v.Exported {
+			state = "exported"
+		}
+		totals(s.From, state, s.Totals)
+		late(s.Late)
+	}
+	for _, s := range v.Unstated {
+		totals(s.From, "open", s.Totals)
+	}
+	late(v.Late)
+	for _, c := range v.Corrections {
+		var u ledger.Usage
+		f, _ := ledger.ParseField(c.Field) // checked when it was read
+		u[f] = c.Delta
+		add(c.Period, "corrected", ledger.Key{Tenant: c.Tenant, Class: c.Class}, u)
+	}
+	return put(w, asJSON, list, func(w io.Writer) {
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintln(t, "period\tstate\ttenant\tclass\toffered\trepeats\tin time\tlate\trefused\tfailed\tleft\tunknown\tattempts\theld ms\tworth\t")
+		for _, s := range list {
+			u := &s.usage
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t\n", s.Period, s.State, s.Tenant, s.Class, u[ledger.Offered],
+				u[ledger.Repeats], u[ledger.StoodInTime], u[ledger.StoodLate], u[ledger.Refused], u[ledger.Failed], u[ledger.Left],
+				u[ledger.Unknown], u.Attempts(), u[ledger.HeldMs], float64(u[ledger.WorthMilli])/1000)
+		}
+		t.Flush()
+	})
+}
+
+func export(w io.Writer, dir, to string, keep time.Duration, asJSON bool) error {
+	wall := func() int64 { return time.Now().UnixMilli() }
+	if _, err := ledgerio.CloseDue(durable.OS{}, dir, wall); err != nil {
+		return err
+	}
+	list, err := ledgerio.Export(durable.OS{}, dir, to)
+	if list == nil {
+		list = []ledgerio.Exported{}
+	}
+	put(w, asJSON, list, func(w io.Writer) {
+		for _, e := range list {
+			fmt.Fprintf(w, "statement %d, %s to %s: %s %.12s\n", e.Sequence, utc(e.From), utc(e.To), e.Path, e.ID)
+		}
+		if len(list) == 0 && err == nil {
+			fmt.Fprintln(w, "nothing new is closed")
+		}
+	})
+	if err != nil {
+		return err
+	}
+	_, err = ledgerio.Compact(durable.OS{}, dir, keep, wall())
+	return err
+}
+
+// merged is what merge prints.
+type merged struct {
+	Files    int              `json:"files"`
+	Exports  int              `json:"exports"`
+	Copies   int              `json:"copies"` // files that hold an export that another holds, too
+	Calls    uint64           `json:"calls_listed"`
+	Findings []ledger.Finding `json:"findings"`
+	Rows     []mergedRow      `json:"rows"`
+	Total    map[string]int64 `json:"total"`
+}
+
+type mergedRow struct {
+	Period string           `json:"period"`
+	Tenant string           `json:"tenant"`
+	Class  string           `json:"class"`
+	Stated map[string]int64 `json:"stated"`
+	Mended map[string]int64 `json:"mended"`
+}
+
+// mergeFiles brings files together in the memory of their lines and one part of each one's list of calls.
+func mergeFiles(f durable.FS, files []string) (ledger.Report, int, error) {
+	all, copies := ledger.Merged{}, 0
+	var paths []string
+	var names []string
+	var findings []ledger.Finding
+	for i := 0; i < len(files); i++ {
+		path := files[i]
+		if within, err := filepath.Glob(filepath.Join(path, "*.tgx")); err == nil && len(within) > 0 { // a folder stands for its exports
+			files = append(files[:i:i], append(within, files[i+1:]...)...)
+			path = files[i]
+		}
+		e, err := ledgerio.ReadExport(f, path, nil)
+		var damage *durable.Damage
+		switch {
+		case errors.Is(err, durable.ErrNewer):
+			findings = append(findings, ledger.Finding{Kind: "newer", Text: err.Error()})
+			continue
+		case errors.As(err, &damage):
+			findings = append(findings, ledger.Finding{Kind: "damaged", Text: err.Error()})
+			continue
+		case err != nil:
+			return ledger.Report{}, 0, err
+		case all.Has(e.ID):
+			copies++
+			continue
+		}
+		all = ledger.Join(all, ledger.Merge(e))
+		paths, names = append(paths, path), append(names, fmt.Sprintf("%s's statement %d", e.Router, e.Sequence))
+	}
+	findings = append(findings, all.Findings()...)
+	var sources []ledger.CallSource
+	buffer := min(64<<10, max(4<<10, (16<<20)/max(1, len(paths))))
+	for _, path := range paths {
+		src, file, err := ledgerio.CallsOf(f, path, buffer)
+		if err != nil {
+			return ledger.Report{}, 0, err
+		}
+		defer file.Close()
+		sources = append(sources, src)
+	}
+	claims := 0
+	calls, err := ledger.Claims(sources, func(call uint64, one, other int) {
+		if claims++; claims <= claimsMost {
+			findings = append(findings, ledger.Finding{Kind: "claim", Text: fmt.Sprintf("call %s stood in %s and in %s", ledger.CallText(call), names[one], names[other])})
+		}
+	})
+	if err != nil {
+		return ledger.Report{}, 0, err
+	}
+	if claims > claimsMost {
+		findings = append(findings, ledger.Finding{Kind: "claim", Text: fmt.Sprintf("and %d more calls", claims-claimsMost)})
+	}
+	return ledger.Report{Made: time.Now().UTC(), Exports: all.Exports(), Rows: all.Rows(), Total: all.Total(), Findings: findings, Calls: calls}, copies, nil
+}
+
+func merge(w io.Writer, files []string, csv, html string, asJSON bool) error {
+	r, copies, err := mergeFiles(durable.OS{}, files)
+	if err != nil {
+		return err
+	}
+	for path, write := range map[string]func(io.Writer) error{csv: r.CSV, html: r.HTML} {
+		if path != "" {
+			if err := durable.WriteFile(durable.OS{}, path, write); err != nil {
+				return err
+			}
+		}
+	}
+	m := merged{Files: len(files), Exports: len(r.Exports), Copies: copies, Calls: r.Calls, Findings: append([]ledger.Finding{}, r.Findings...),
+		Rows: []mergedRow{}, Total: r.Total.Map()}
+	for _, row := range r.Rows {
+		m.Rows = append(m.Rows, mergedRow{utc(row.Period), row.Tenant, row.Class, row.Stated.Map(), row.Mended.Map()})
+	}
+	err = put(w, asJSON, m, func(w io.Writer) {
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintln(t, "period\ttenant\tclass\toffered\tin time\tlate\trefused\tfailed\tleft\tunknown\tattempts\theld ms\tworth\tcorrected\t")
+		for _, row := range r.Rows {
+			u, mends := &row.Mended, ""
+			if row.Mended != row.Stated {
+				mends = "yes"
+			}
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%s\t\n", utc(row.Period), row.Tenant, row.Class, u[ledger.Offered],
+				u[ledger.StoodInTime], u[ledger.StoodLate], u[ledger.Refused], u[ledger.Failed], u[ledger.Left], u[ledger.Unknown],
+				u.Attempts(), u[ledger.HeldMs], float64(u[ledger.WorthMilli])/1000, mends)
+		}
+		t.Flush()
+		fmt.Fprintf(w, "%d files, %d statements, %d copies, %d calls listed, %d findings\n", m.Files, m.Exports, m.Copies, m.Calls, len(m.Findings))
+		for _, f := range m.Findings {
+			fmt.Fprintf(w, "%s: %s %s\n", f.Kind, f.Router, f.Text)
+		}
+	})
+	if err == nil && len(r.Findings) > 0 {
+		err = exit{exitFinding, nil}
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/threadglade/serve.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"threadglade.example/threadglade/internal/callcontrol"
+	"threadglade.example/threadglade/internal/durable"
+	"threadglade.example/threadglade/internal/identity"
+	"threadglade.example/threadglade/internal/node"
+	"threadglade.example/threadglade/router"
+)
+
+// fileSystem is where the product's files are; tests put another in its place.
+var fileSystem durable.FS = durable.OS{}
+
+// files are the product's own settings as the command line names them.
+type files struct{ settings, callcontrol string }
+
+func (f *files) flags(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.settings, "settings", "", "file of the product's own settings")
+	cmd.Flags().StringVar(&f.callcontrol, "callcontrol", "", "deprecated: file that switches on call control alone")
+}
+
+// load reads them for a router of that name.
+func (f *files) load(name string) (p node.Product, err error) {
+	p = node.DefaultProduct()
+	if f.settings != "" {
+		if p, err = node.LoadProduct(f.settings, name); err != nil {
+			return p, err
+		}
+	}
+	if f.callcontrol != "" {
+		if p.CallControl != nil {
+			return p, errors.New("call control is in --settings and in --callcontrol; leave --callcontrol out")
+		}
+		c, err := callcontrol.Load(f.callcontrol)
+		if err != nil {
+			return p, err
+		}
+		p.CallControl = &c
+	}
+	return p, nil
+}
+
+func serveCommand() *cobra.Command {
+	var f files
+	cmd := &cobra.Command{Use: "serve", Short: "Route calls until SIGTERM", Args: cobra.NoArgs,
+		Long: "Route calls until SIGTERM. The configuration is the JSON file that NODE_CONFIG names; NODE_LISTEN,\n" +
+			"if set, overrides the address in it. SIGUSR1 prints the counters.",
+		RunE: func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), f) }}
+	f.flags(cmd)
+	return cmd
+}
+
+func checkCommand() *cobra.Command {
+	var f files
+	cmd := &cobra.Command{Use: "check", Short: "Read the configuration and say what it holds", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := node.LoadConfig()
+			if err != nil {
+				return err
+			}
+			p, err := f.load(c.Name)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: listen %s, name service %s, %d servers at list %d, %d classes, %d routers\n",
+				c.Name, c.Listen, c.Resolver, len(c.Servers), c.Cursor, len(c.Settings.Classes), c.Settings.Proxies)
+			p.Describe(cmd.OutOrStdout())
+			return nil
+		}}
+	f.flags(cmd)
+	return cmd
+}
+
+func serve(ctx context.Context, f files) error {
+	c, err := node.LoadConfig()
+	if err != nil {
+		return err
+	}
+	if c.Product, err = f.load(c.Name); err != nil {
+		return err
+	}
+	node.Limit(c)
+	log := node.Logger(os.Stderr, c.Name, c.Product.Level, c.Product.JSON)
+	if f.callcontrol != "" {
+		log.Warn().Str("event", "deprecated").Msg("--callcontrol is deprecated: move the file into a (callcontrol ...) section of --settings")
+	}
+	c.FS = fileSystem
+	n, err := node.New(c, router.SystemClock(), log)
+	if err != nil {
+		return err
+	}
+	var verifier *identity.Verifier
+	if callers := c.Product.CallControl; callers != nil {
+		if verifier, err = identity.New(callers.Identity(), log); err != nil {
+			return err
+		}
+		if err = verifier.Watch(ctx, callers.WorkloadAPI); err != nil {
+			return err
+		}
+		if _, err = n.CallControl(*callers, c.Settings.Classes, verifier.Verify); err != nil {
+			return err
+		}
+	}
+	n.Reload = func() (func(), error) {
+		p, err := f.load(c.Name)
+		if err != nil {
+			return nil, err
+		}
+		if verifier != nil && p.CallControl != nil {
+			if _, err := identity.New(p.CallControl.Identity(), log); err != nil {
+				return nil, err
+			}
+		}
+		return func() {
+			if verifier != nil && p.CallControl != nil {
+				verifier.Reconfigure(p.CallControl.Identity()) // checked above
+			}
+			n.ApplyProduct(p)
+		}, nil
+	}
+	n.Signals()
+	return n.Run()
+}
--- a/internal/callcontrol/callcontrol.go
+++ b/internal/callcontrol/callcontrol.go
@@ -17,6 +17,7 @@
 	"threadglade.example/threadglade"
 	"threadglade.example/threadglade/internal/identity"
 	"threadglade.example/threadglade/internal/loop"
+	"threadglade.example/threadglade/internal/settings"
 	"threadglade.example/threadglade/router"
 )
 
@@ -89,22 +90,48 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return c, fmt.Errorf("%s: %s: unknown key", path, unknown[0])
 	}
+	if _, err := c.validate(); err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Read reads a (callcontrol ...) section. What is wrong is noted with the section and reported by its Finish.
+func Read(s *settings.Section) Config {
+	c := Config{GraceMs: 5000, Sockets: 64}
+	s.String("listen", &c.Listen)
+	c.Origins = s.Strings("origins")
+	s.String("trust-domain", &c.TrustDomain)
+	s.String("audience", &c.Audience)
+	c.Allowed = s.Strings("allowed-ids")
+	s.String("workload-api", &c.WorkloadAPI)
+	s.Int("grace-ms", &c.GraceMs, 1, 60_000)
+	s.Int("sockets", &c.Sockets, 1, 1<<20)
+	if field, err := c.validate(); err != nil {
+		s.Errorf(strings.ReplaceAll(field, "_", "-"), "%v", err)
+	}
+	return c
+}
+
+// validate checks the configuration, and names the field that is wrong in the error, too.
+func (c *Config) validate() (field string, err error) {
 	if c.Addr, err = netip.ParseAddrPort(c.Listen); err != nil {
-		return c, fmt.Errorf("%s: listen: %w", path, err)
+		return "listen", fmt.Errorf("listen: %w", err)
 	}
 	if !c.Addr.Addr().IsLoopback() {
-		return c, fmt.Errorf("%s: listen: %s is not a loopback address; TLS ends at a local proxy", path, c.Listen)
+		return "listen", fmt.Errorf("listen: %s is not a loopback address; TLS ends at a local proxy", c.Listen)
 	}
 	if c.GraceMs < 1 || c.GraceMs > 60_000 {
-		return c, fmt.Errorf("%s: grace_ms: %d is not within 1 and 60000", path, c.GraceMs)
+		return "grace_ms", fmt.Errorf("grace_ms: %d is not within 1 and 60000", c.GraceMs)
 	}
 	if c.Sockets < 1 {
-		return c, fmt.Errorf("%s: sockets: %d is not positive", path, c.Sockets)
+		return "sockets", fmt.Errorf("sockets: %d is not positive", c.Sockets)
 	}
 	if _, err := identity.New(c.Identity(), zerolog.Nop()); err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
+		field, _, _ = strings.Cut(err.Error(), ":")
+		return field, err
 	}
-	return c, nil
+	return "", nil
 }
 
 // Verify checks a token; identity.Verifier's is the real one.
--- a/internal/durable/frame.go
+++ b/internal/durable/frame.go
@@ -138,11 +138,16 @@
 
 // Open opens a file of a kind. Its errors are those of the file system, Damage, or wrap ErrNewer.
 func Open(f FS, path string, kind uint16) (*Reader, error) {
+	return OpenBuffered(f, path, kind, 64<<10)
+}
+
+// OpenBuffered is Open with a buffer of a size, for those who have many files open at once.
+func OpenBuffered(f FS, path string, kind uint16, buffer int) (*Reader, error) {
 	src, size, err := f.Open(path)
 	if err != nil {
 		return nil, err
 	}
-	r := &Reader{name: path, size: size, src: src, r: bufio.NewReaderSize(src, 64<<10)}
+	r := &Reader{name: path, size: size, src: src, r: bufio.NewReaderSize(src, buffer)}
 	head := make([]byte, min(size, headerSize))
 	if _, err = io.ReadFull(r.r, head); err == nil {
 		r.Header, err = readHeader(path, head, kind)
--- a/internal/durable/log.go
+++ b/internal/durable/log.go
@@ -167,6 +167,8 @@
 	frames
 	buf []byte
 
+	syncing sync.Mutex // held during a sync, so that roll cannot overtake one
+
 	mu    sync.Mutex // guards file and dirty
 	file  File
 	dirty bool
@@ -260,6 +262,8 @@
 
 // Sync makes what was appended outlast a crash of the machine. It may run beside Append.
 func (l *Log) Sync() error {
+	l.syncing.Lock()
+	defer l.syncing.Unlock()
 	l.mu.Lock()
 	file, dirty := l.file, l.dirty
 	l.dirty = false
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -53,6 +53,56 @@
 	mu      sync.Mutex
 	posted  []func()
 	stop    bool
+	gate    Gate
+	corked  []*Conn  // have bytes of this turn
+	waiting []parcel // of earlier turns, oldest first
+}
+
+// Gate holds back what connections write until something else has happened: a record of it is safe. At the end of
+// each turn the loop asks Commit for a ticket; the bytes of that turn leave once Passed has reached it. Commit and Passed
+// return at once. Whoever lets a ticket pass calls Nudge.
+type Gate interface {
+	Commit() (ticket uint64)
+	Passed() (ticket uint64)
+	// Patience is how long the loop may wait before it asks Passed again although nobody has nudged it.
+	Patience() time.Duration
+}
+
+// parcel is bytes at the end of what a connection had to write when their turn ended.
+type parcel struct {
+	ticket uint64
+	c      *Conn
+	n      int
+}
+
+// SetGate has a gate hold back what is written from now on. It is called before Run.
+func (l *Loop) SetGate(g Gate) { l.gate = g }
+
+// Nudge has Run ask the gate again. It may be called from any goroutine.
+func (l *Loop) Nudge() { l.Post(func() {}) }
+
+// pass ends a turn: it commits, and lets go what may leave.
+func (l *Loop) pass() {
+	ticket := l.gate.Commit()
+	for _, c := range l.corked {
+		l.waiting = append(l.waiting, parcel{ticket, c, c.cork})
+		c.cork = 0
+	}
+	clear(l.corked)
+	l.corked = l.corked[:0]
+	if len(l.waiting) == 0 {
+		return
+	}
+	passed, done := l.gate.Passed(), 0
+	for done < len(l.waiting) && l.waiting[done].ticket <= passed {
+		c := l.waiting[done].c
+		c.free += l.waiting[done].n
+		done++
+		if !c.closed {
+			c.flush()
+		}
+	}
+	l.waiting = append(l.waiting[:0], l.waiting[done:]...)
 }
 
 // source is anything with a descriptor in the set.
@@ -91,6 +141,14 @@
 	events := make([]unix.EpollEvent, batch)
 	for !l.stop {
 		wait := due()
+		if l.gate != nil {
+			if l.pass(); len(l.waiting) > 0 {
+				wait = min(wait, l.gate.Patience())
+			}
+			if len(l.corked) > 0 { // written as a connection closed just now
+				wait = 0
+			}
+		}
 		l.reap()
 		if l.stop {
 			break
@@ -261,6 +319,8 @@
 	finish   bool // nothing more is taken or written: the other side is to read to the end
 	half     bool // nothing more is written
 	ended    bool // the other side was told
+	cork     int  // bytes at the end of out that were written in this turn, where there is a gate
+	free     int  // bytes at the beginning of out that may leave, where there is a gate
 }
 
 // Dial begins to connect; the handler hears Opened or Closed, always after Dial has returned.
@@ -296,6 +356,9 @@
 	if !c.Open() {
 		return false
 	}
+	if c.l.gate != nil {
+		return c.hold(b)
+	}
 	if len(c.out) == 0 {
 		n, err := unix.Write(c.fd, b)
 		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
@@ -317,6 +380,28 @@
 	return true
 }
 
+// hold keeps bytes until the gate lets them leave.
+func (c *Conn) hold(b []byte) bool {
+	if len(c.out)+len(b) > writeMost {
+		c.l.Post(func() { c.Close(ErrSlow) })
+		return false
+	}
+	if c.cork == 0 && len(b) > 0 {
+		c.l.corked = append(c.l.corked, c)
+	}
+	c.out = append(c.out, b...)
+	c.cork += len(b)
+	return true
+}
+
+// leaving is how many bytes may be written now: all where there is no gate.
+func (c *Conn) leaving() int {
+	if c.l.gate == nil {
+		return len(c.out)
+	}
+	return c.free
+}
+
 // Finish takes nothing more and ends the connection once everything is written: the other side is told the end, and
 // what it goes on to send is thrown away until it ends too, for a close over unread input is a reset that takes
 // the last answer with it. The owner bounds how long that may last by Close.
@@ -358,13 +443,13 @@
 			unix.Close(c.fd)
 		}
 	}
-	c.in, c.out = nil, nil
+	c.in, c.out, c.cork, c.free = nil, nil, 0, 0
 	c.handler.Closed(c, err)
 }
 
 func (c *Conn) watch() {
 	want := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
-	if len(c.out) > 0 {
+	if c.leaving() > 0 {
 		want |= unix.EPOLLOUT
 	}
 	if want != c.interest {
@@ -397,8 +482,8 @@
 }
 
 func (c *Conn) flush() bool {
-	for len(c.out) > 0 {
-		n, err := unix.Write(c.fd, c.out)
+	for c.leaving() > 0 {
+		n, err := unix.Write(c.fd, c.out[:c.leaving()])
 		if err == unix.EAGAIN {
 			break
 		}
@@ -407,6 +492,9 @@
 			return false
 		}
 		c.out = c.out[max(n, 0):]
+		if c.l.gate != nil {
+			c.free -= max(n, 0)
+		}
 	}
 	if len(c.out) == 0 {
 		c.out = nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,8 @@
 
 	"threadglade.example/threadglade"
 	"threadglade.example/threadglade/internal/callcontrol"
+	"threadglade.example/threadglade/internal/durable"
+	"threadglade.example/threadglade/internal/ledgerio"
 	"threadglade.example/threadglade/internal/loop"
 	"threadglade.example/threadglade/internal/registry"
 	"threadglade.example/threadglade/internal/sip"
@@ -52,6 +54,9 @@
 
 	ConnectTimeout time.Duration
 	Free, Total    string // names of the figures in a server's state
+
+	Product Product    // the product's own settings; everything in it is off unless it says so
+	FS      durable.FS // nil: the operating system's
 }
 
 // ReadConfig reads the platform's configuration; listen, if not empty, overrides the address in it.
@@ -136,8 +141,9 @@
 type Node struct {
 	Loop   *loop.Loop
 	Router *router.Router
-	// Reload, if set, reads the configuration of what was added to the node anew; it runs on the loop.
-	Reload func() error
+	// Reload, if set, reads the settings of what was added to the node anew. It runs beside the loop, for it may take long;
+	// what it returns puts them in force and runs on the loop.
+	Reload func() (apply func(), err error)
 	config Config
 	clock  router.Clock
 	log    zerolog.Logger
@@ -146,6 +152,7 @@
 	trunk  *sip.Trunk
 	names  *registry.Client
 	listen *loop.Listener
+	ledger *ledgerio.Carrier // nil where it is off
 }
 
 // Logger writes one event a line with the time, the level and the router's name: as text for people or, with asJSON, as
@@ -175,12 +182,20 @@
 	n := &Node{Loop: l, clock: clock, log: log, config: c}
 	n.trunk = sip.NewTrunk(sip.TrunkConfig{Loop: l, Clock: clock, ConnectTimeout: c.ConnectTimeout, Free: c.Free,
 		Total: c.Total, Log: log})
-	n.Router, err = router.New(router.Config{Settings: c.Settings, Seed: c.Seed, Clock: clock, Trunk: n.trunk, Log: log,
+	rc := router.Config{Settings: c.Settings, Seed: c.Seed, Clock: clock, Trunk: n.trunk, Log: log,
 		Orphan: func(id string, how threadglade.Outcome) { n.front.Orphan(id, how) },
-		Stray:  n.trunk.ReleaseAnywhere})
-	if err != nil {
+		Stray:  n.trunk.ReleaseAnywhere}
+	if c.Product.Ledger != nil {
+		if err := n.openLedger(&rc); err != nil {
+			return nil, err
+		}
+	}
+	if n.Router, err = router.New(rc); err != nil {
 		return nil, err
 	}
+	if n.ledger != nil {
+		n.tickLedger()
+	}
 	n.front = sip.NewFront(sip.FrontConfig{Router: n.Router, Clock: clock, Sockets: c.Sockets, Settings: c.Settings})
 	n.front.Start()
 	n.trunk.Start(n.Router)
@@ -213,9 +228,6 @@
 	return listen.Addr(), nil
 }
 
-// ReloadCallControl takes the second front's file anew; it is for Reload.
-func (n *Node) ReloadCallControl(c callcontrol.Config) { n.second.Reconfigure(c) }
-
 // list hands on the whole list. The router hears first: what is cut at a server that is gone is not sent there
 // again.
 func (n *Node) list(servers []sip.Server, stored bool) {
@@ -235,6 +247,9 @@
 	err := n.Loop.Run(n.Router.Tick)
 	n.log.Info().Str("event", "counters").Msgf("counters %s", n.Counters())
 	n.Loop.Close()
+	if n.ledger != nil {
+		err = errors.Join(err, n.ledger.Close())
+	}
 	return err
 }
 
@@ -264,11 +279,6 @@
 // list goes on by its number; limits hold from now on. Calls, servers and connections stay as they are, and
 // what a running router cannot change is named in the log and waits for the next start.
 func (n *Node) Apply(c Config) error {
-	if n.Reload != nil {
-		if err := n.Reload(); err != nil {
-			return err
-		}
-	}
 	if err := n.names.Move(c.Resolver); err != nil {
 		return err
 	}
@@ -288,16 +298,27 @@
 	return nil
 }
 
-// reload reads the configuration that the environment names; a bad one is logged, and the old one stays.
+// reload reads the configuration that the environment names, and the settings; a bad one is logged, and the old one stays.
+// It runs beside the loop.
 func (n *Node) reload() {
 	c, err := LoadConfig()
-	if err == nil {
-		Limit(c)
-		err = n.Apply(c)
-	}
-	if err != nil {
-		n.log.Error().Str("event", "config_bad").Msgf("configuration not taken, the old one stays: %v", err)
-	}
+	var apply func()
+	if err == nil && n.Reload != nil {
+		apply, err = n.Reload()
+	}
+	n.Loop.Post(func() {
+		if err == nil {
+			Limit(c)
+			err = n.Apply(c)
+		}
+		if err != nil {
+			n.log.Error().Str("event", "config_bad").Msgf("configuration not taken, the old one stays: %v", err)
+			return
+		}
+		if apply != nil {
+			apply()
+		}
+	})
 }
 
 // Counters prints all counters on one line.
@@ -307,6 +328,9 @@
 	if n.second != nil {
 		text += fmt.Sprintf(" callcontrol=%+v", n.second.Counters())
 	}
+	if n.ledger != nil {
+		text += fmt.Sprintf(" ledger=%+v", n.ledger.Counters())
+	}
 	return text
 }
 
@@ -329,7 +353,7 @@
 			case s == syscall.SIGUSR1:
 				n.Loop.Post(func() { n.log.Info().Str("event", "counters").Msgf("counters %s", n.Counters()) })
 			case s == syscall.SIGHUP:
-				n.Loop.Post(n.reload)
+				n.reload()
 			case !ending:
 				ending = true
 				n.Loop.Post(n.Shutdown)
--- /dev/null
+++ b/internal/node/product.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"threadglade.example/threadglade/internal/callcontrol"
+	"threadglade.example/threadglade/internal/durable"
+	"threadglade.example/threadglade/internal/ledgerio"
+	"threadglade.example/threadglade/internal/settings"
+	"threadglade.example/threadglade/ledger"
+	"threadglade.example/threadglade/router"
+)
+
+// ledgerEvery is how often the ledger looks whether a period is over.
+const ledgerEvery = 250 * time.Millisecond
+
+// Product is the product's own settings. What they do not mention is off; the platform's run line names none.
+type Product struct {
+	Level       zerolog.Level
+	JSON        bool                // logs are JSON
+	CallControl *callcontrol.Config // nil: off
+	Ledger      *ledgerio.Options   // nil: off
+}
+
+// DefaultProduct is what holds without a settings file.
+func DefaultProduct() Product { return Product{Level: zerolog.InfoLevel} }
+
+// LoadProduct reads the settings file of a router of that name. The error names file, line and field.
+func LoadProduct(path, router string) (Product, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return Product{}, err
+	}
+	return readProduct(s, router)
+}
+
+func readProduct(s *settings.Section, router string) (Product, error) {
+	p := DefaultProduct()
+	log := s.Sub("log")
+	level, form := p.Level.String(), "text"
+	log.Choice("level", &level, "debug", "info", "warn", "error")
+	log.Choice("form", &form, "text", "json")
+	p.Level, _ = zerolog.ParseLevel(level)
+	p.JSON = form == "json"
+	if sub := s.Sub("callcontrol"); sub != nil {
+		c := callcontrol.Read(sub)
+		p.CallControl = &c
+	}
+	if sub := s.Sub("ledger"); sub != nil {
+		o := ledgerio.Read(sub, router)
+		p.Ledger = &o
+	}
+	return p, s.Finish()
+}
+
+// Describe prints the settings as they are in force, in the form of the file.
+func (p Product) Describe(w io.Writer) {
+	form := "text"
+	if p.JSON {
+		form = "json"
+	}
+	fmt.Fprintf(w, "(threadglade\n  (log (level %s) (form %s))", p.Level, form)
+	quote := func(list []string) (text string) {
+		for _, s := range list {
+			text += fmt.Sprintf(" %q", s)
+		}
+		return text
+	}
+	if c := p.CallControl; c != nil {
+		fmt.Fprintf(w, "\n  (callcontrol (listen %q) (origins%s) (trust-domain %q) (audience %q)\n    (allowed-ids%s) (workload-api %q) (grace-ms %d) (sockets %d))",
+			c.Listen, quote(c.Origins), c.TrustDomain, c.Audience, quote(c.Allowed), c.WorkloadAPI, c.GraceMs, c.Sockets)
+	}
+	if o := p.Ledger; o != nil {
+		when := "go-on"
+		if o.Refuse {
+			when = "refuse"
+		}
+		ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+		fmt.Fprintf(w, "\n  (ledger (directory %q) (period %q) (grace %q) (unknown-after %q)\n    (sync %q) (patience %q) (keep %q) (segment-kb %d) (when-unwritable %s)",
+			o.Dir, ms(o.Terms.Length), ms(o.Terms.Grace), ms(o.Terms.UnknownAfter), o.Sync, o.Patience, o.Keep, o.Roll>>10, when)
+		if o.Export != "" {
+			fmt.Fprintf(w, " (export %q)", o.Export)
+		}
+		tenants, networks := o.Tenants.Size()
+		fmt.Fprintf(w, ")\n  ; %d tenants, %d networks, precedence %s", tenants, networks, strings.Join(o.Tenants.Precedence(), ", "))
+	}
+	fmt.Fprintln(w, ")")
+}
+
+// openLedger opens the ledger and puts it before the router and the loop.
+func (n *Node) openLedger(rc *router.Config) (err error) {
+	fs := n.config.FS
+	if fs == nil {
+		fs = durable.OS{}
+	}
+	n.ledger, err = ledgerio.Open(ledgerio.Config{Options: *n.config.Product.Ledger, FS: fs, Classes: ledger.Classes(n.config.Settings.Classes),
+		Wall: func() int64 { return time.Now().UnixMilli() }, Clock: n.clock, Nudge: n.Loop.Nudge, Log: n.log})
+	if err != nil {
+		return err
+	}
+	rc.Observer = n.ledger
+	if n.config.Product.Ledger.Refuse {
+		rc.Admit = n.ledger.Admit
+	}
+	n.Loop.SetGate(n.ledger)
+	return nil
+}
+
+// tickLedger has the ledger close what is due.
+func (n *Node) tickLedger() {
+	n.ledger.Tick()
+	n.Router.At(n.clock()+ledgerEvery, n.tickLedger)
+}
+
+// ApplyProduct puts settings that were read anew in force, as far as a running router can: who is let in, the tenants' tables.
+// What waits for a restart is named in the log.
+func (n *Node) ApplyProduct(p Product) {
+	old := n.config.Product
+	waits := func(what string) {
+		n.log.Warn().Str("event", "config_waits").Str("field", what).Msgf("configuration: %s has changed, which takes a restart", what)
+	}
+	if p.Level != old.Level || p.JSON != old.JSON {
+		waits("log")
+	}
+	switch {
+	case (p.CallControl == nil) != (old.CallControl == nil):
+		waits("callcontrol")
+	case p.CallControl != nil && n.second != nil:
+		n.second.Reconfigure(*p.CallControl)
+	}
+	switch {
+	case (p.Ledger == nil) != (old.Ledger == nil):
+		waits("ledger")
+	case p.Ledger != nil:
+		n.ledger.SetTenants(p.Ledger.Tenants)
+		tenants, networks := p.Ledger.Tenants.Size()
+		n.log.Info().Str("event", "ledger_tenants").Msgf("ledger: %d tenants, %d networks", tenants, networks)
+		now, was := *p.Ledger, *old.Ledger
+		now.Tenants, was.Tenants = nil, nil
+		if now != was {
+			waits("ledger")
+		}
+	}
+}
