Share one package of stand-ins between scenario, crash and load tests

Need: crash and load tests want case servers and callers that count what they saw, beside the scripted ones of the scenarios.

Change: internal/standin speaks the platform's SIP and the name service's DNS in code of its own; the scenarios use its reader, ids and name service.

--- a/internal/scenario/mixed_test.go
+++ b/internal/scenario/mixed_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"threadglade.example/threadglade/internal/standin"
 )
 
 // TestMixedCallers is the proof that both fronts are served on the same terms: pairs of equal calls, one by SIP and
@@ -32,9 +34,9 @@
 		for {
 			got, err := p.next()
 			require.NoError(t, err)
-			m, ok := got.(sipMessage)
+			m, ok := got.(standin.Message)
 			require.True(t, ok, "%s: %v", name, got)
-			id, words := m.header["Call-ID"], strings.Fields(m.start)
+			id, words := m.Header["Call-ID"], strings.Fields(m.Start)
 			switch words[0] {
 			case "SIP/2.0":
 				return // the barrier: all that the router has sent is here
@@ -44,7 +46,7 @@
 				require.LessOrEqual(t, attempts[id], 6, "attempts of %s", id)
 				out[id] = name
 				var n int
-				fmt.Sscanf(m.body, "pair %d", &n)
+				fmt.Sscanf(m.Body, "pair %d", &n)
 				number[id] = n
 				answer := "200 INVITE #" + id + " Body=x"
 				switch {
@@ -78,13 +80,13 @@
 		for {
 			got, err := p.next()
 			require.NoError(t, err)
-			m := got.(sipMessage)
-			words := strings.Fields(m.start)
-			if strings.HasSuffix(m.header["CSeq"], "OPTIONS") {
+			m := got.(standin.Message)
+			words := strings.Fields(m.Start)
+			if strings.HasSuffix(m.Header["CSeq"], "OPTIONS") {
 				return
 			}
 			for n := range pairs {
-				if m.header["Call-ID"] == callID(fmt.Sprintf("sip-%d", n)) {
+				if m.Header["Call-ID"] == callID(fmt.Sprintf("sip-%d", n)) {
 					answer(fmt.Sprintf("sip-%d", n), words[1] == "200")
 				}
 			}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -18,12 +18,9 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
-	"io"
 	"net"
 	"net/netip"
 	"strconv"
@@ -40,6 +37,7 @@
 	"threadglade.example/threadglade/internal/callcontrol"
 	"threadglade.example/threadglade/internal/identity"
 	"threadglade.example/threadglade/internal/node"
+	"threadglade.example/threadglade/internal/standin"
 )
 
 const patience = 5 * time.Second // for an event that never comes
@@ -63,8 +61,7 @@
 	seen    int // of lines, by log
 	peers   map[string]*peer
 	vars    map[string]string
-	names   *net.UDPConn
-	serial  uint32
+	names   *standin.Names
 	listing []string
 	second  netip.AddrPort
 	config  string // as the router was started with
@@ -73,7 +70,7 @@
 
 func play(t *testing.T, script string) *world {
 	t.Helper()
-	w := &world{t: t, peers: map[string]*peer{}, vars: map[string]string{}, ended: make(chan error, 1), serial: 7}
+	w := &world{t: t, peers: map[string]*peer{}, vars: map[string]string{}, ended: make(chan error, 1)}
 	w.clock.Store(int64(1_700_000_000) * int64(time.Second))
 	w.check = w.verify
 	w.names = nameService(t)
@@ -129,12 +126,12 @@
 		w.advance(d)
 		return err
 	case "list":
-		w.mu.Lock()
-		w.listing, w.serial = strings.Fields(rest), w.serial+1
-		if n, _ := fmt.Sscanf(rest, "serial=%d", &w.serial); n == 1 {
+		w.listing = strings.Fields(rest)
+		serial := uint32(0)
+		if n, _ := fmt.Sscanf(rest, "serial=%d", &serial); n == 1 {
 			w.listing = w.listing[1:]
 		}
-		w.mu.Unlock()
+		w.names.Set(serial, w.entries())
 		return nil
 	case "quiet":
 		text, err := strconv.Unquote(rest)
@@ -212,14 +209,14 @@
 			w.listing = append(w.listing, name)
 		}
 	}
-	known, _ := json.Marshal(map[string]any{"cursor": w.serial, "cmds": []any{map[string]any{"cursor": w.serial,
+	known, _ := json.Marshal(map[string]any{"cursor": w.names.Serial(), "cmds": []any{map[string]any{"cursor": w.names.Serial(),
 		"nodes": map[string]any{"complete": true, "members": members}}}})
 	sockets := 300
 	if strings.Contains(flags, "sockets=") {
 		fmt.Sscanf(flags[strings.Index(flags, "sockets="):], "sockets=%d", &sockets)
 	}
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"memory_mb":192,"sockets":%d},
-		"resolver":%q,"known":%s,"settings":%s}`, sockets, w.names.LocalAddr(), known, settings)
+		"resolver":%q,"known":%s,"settings":%s}`, sockets, w.names.Addr(), known, settings)
 	c, err := node.ReadConfig([]byte(config), "")
 	if err != nil {
 		return err
@@ -233,7 +230,7 @@
 			Sockets: 9, Origins: []string{"https://desk.example"}}, c.Settings.Classes, w.check)
 	}
 	w.config = config
-	go w.answerNames(w.names)
+	w.names.Set(w.names.Serial(), w.entries())
 	go func() { w.ended <- w.node.Run() }()
 	return err
 }
@@ -246,71 +243,16 @@
 	return identity.Caller{ID: token, Expires: time.Unix(0, w.clock.Load()).Add(time.Minute)}, nil
 }
 
-// ---- the name service ----
-
-func nameService(t *testing.T) *net.UDPConn {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
-	return conn
-}
-
-func (w *world) answerNames(names *net.UDPConn) {
-	b := make([]byte, 1024)
-	for lost := true; ; lost = !lost {
-		n, from, err := names.ReadFromUDP(b)
-		if err != nil {
-			return
-		}
-		if !lost { // every other query is lost
-			w.mu.Lock()
-			answer := w.records(b[:n])
-			w.mu.Unlock()
-			names.WriteToUDP(answer, from)
-		}
-	}
-}
-
-func label(names ...string) (b []byte) {
-	for _, n := range names {
-		b = append(append(b, byte(len(n))), n...)
-	}
-	return b
-}
-
-// records answers a query with the list; names below the question's and the hosts' are compressed.
-func (w *world) records(query []byte) []byte {
-	b := append([]byte(nil), query...)
-	b[2] |= 0x80
-	records := 0
-	add := func(owner []byte, kind uint16, data []byte) {
-		b = append(b, owner...)
-		b = binary.BigEndian.AppendUint16(b, kind)
-		b = append(b, 0, 1, 0, 0, 0, 0)
-		b = append(binary.BigEndian.AppendUint16(b, uint16(len(data))), data...)
-		records++
-	}
-	question := []byte{0xc0, 12}
+// entries is the list as the name service tells it.
+func (w *world) entries() (list []standin.Entry) {
 	for _, entry := range w.listing {
 		name, state, _ := strings.Cut(entry, "=")
 		name, started, _ := strings.Cut(name, "@")
 		p := w.peers[name]
-		addr := p.listener.Addr().(*net.TCPAddr)
-		priority := uint16(0)
-		if state == "draining" {
-			priority = 1
-		}
-		data := binary.BigEndian.AppendUint16(nil, priority)
-		data = binary.BigEndian.AppendUint16(append(data, 0, 40), uint16(addr.Port))
-		host := len(b) + 2 + 10 + 6
-		add(question, 33, append(append(data, label(name, "east", "hosts")...), 0))
-		ref := []byte{0xc0 | byte(host>>8), byte(host)}
-		add(ref, 1, addr.IP.To4())
-		add(ref, 16, label("kind=std", fmt.Sprintf("cell=%d", p.number), "started="+started))
-	}
-	soa := append([]byte{0xc0, 12, 0xc0, 12}, binary.BigEndian.AppendUint32(nil, w.serial)...)
-	add(question, 6, append(soa, make([]byte, 16)...))
-	binary.BigEndian.PutUint16(b[6:], uint16(records))
-	return b
+		list = append(list, standin.Entry{ID: name, Number: p.number, Addr: netip.MustParseAddrPort(p.listener.Addr().String()),
+			Draining: state == "draining", Started: started})
+	}
+	return list
 }
 
 // ---- stand-ins ----
@@ -329,12 +271,6 @@
 	fill     []int
 }
 
-type sipMessage struct {
-	start  string
-	header map[string]string
-	body   string
-}
-
 func (p *peer) web() bool { return p.name[0] == 'w' }
 
 func (p *peer) open(args string) (err error) {
@@ -398,31 +334,7 @@
 	}
 }
 
-func readSIP(r *bufio.Reader) (any, error) {
-	m := sipMessage{header: map[string]string{}}
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			return nil, err
-		}
-		switch line = strings.TrimSuffix(line, "\r\n"); {
-		case m.start == "":
-			m.start = line
-		case line == "":
-			n, err := strconv.Atoi(m.header["Content-Length"])
-			if err != nil {
-				return nil, err
-			}
-			body := make([]byte, n)
-			_, err = io.ReadFull(r, body)
-			m.body = string(body)
-			return m, err
-		default:
-			name, value, _ := strings.Cut(line, ": ")
-			m.header[name] = value
-		}
-	}
-}
+func readSIP(r *bufio.Reader) (any, error) { return standin.Read(r) }
 
 func (p *peer) write(b []byte) error {
 	for stop := time.Now().Add(patience); ; time.Sleep(time.Millisecond) { // a server may not be connected yet
@@ -481,13 +393,16 @@
 	return nil
 }
 
-// callID is the id of a call by its name in a script.
-func callID(name string) string {
-	h := fnv.New64a()
-	io.WriteString(h, name)
-	return fmt.Sprintf("%016x", h.Sum64())
+// nameService answers every other query until the test ends.
+func nameService(t *testing.T) *standin.Names {
+	names, err := standin.NewNames(7, true)
+	require.NoError(t, err)
+	return names
 }
 
+// callID is the id of a call by its name in a script.
+func callID(name string) string { return standin.CallID(name) }
+
 // split reads a SIP message of a script.
 func split(text string) (status, method, call string, headers [][2]string) {
 	words := strings.Fields(text)
@@ -582,24 +497,24 @@
 		if err != nil {
 			return err
 		}
-		m, ok := got.(sipMessage)
+		m, ok := got.(standin.Message)
 		if !ok && p.listener != nil {
 			continue // another connection of this server has ended
 		}
 		if !ok {
 			return fmt.Errorf("connection ended: %v", got)
 		}
-		words := strings.Fields(m.start)
+		words := strings.Fields(m.Start)
 		is, isMethod := "", words[0]
 		if words[0] == "SIP/2.0" {
-			is, isMethod = words[1], strings.Fields(m.header["CSeq"])[1]
+			is, isMethod = words[1], strings.Fields(m.Header["CSeq"])[1]
 		}
-		matches := is == status && isMethod == method && (call == "" || m.header["Call-ID"] == call)
+		matches := is == status && isMethod == method && (call == "" || m.Header["Call-ID"] == call)
 		for _, h := range headers {
 			if h[0] == "Body" {
-				matches = matches && m.body == h[1]
+				matches = matches && m.Body == h[1]
 			} else {
-				matches = matches && (h[1] == "" && m.header[h[0]] == "" || h[1] != "" && strings.Contains(m.header[h[0]], h[1]))
+				matches = matches && (h[1] == "" && m.Header[h[0]] == "" || h[1] != "" && strings.Contains(m.Header[h[0]], h[1]))
 			}
 		}
 		if matches {
@@ -607,7 +522,7 @@
 		}
 		free := isMethod == "ACK" || is == "200" && (isMethod == "BYE" || isMethod == "CANCEL")
 		if !free {
-			return fmt.Errorf("got %s %v %q", m.start, m.header, m.body)
+			return fmt.Errorf("got %s %v %q", m.Start, m.Header, m.Body)
 		}
 	}
 }
--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"threadglade.example/threadglade/internal/standin"
 )
 
 // open is how most scenarios begin: one case server, one caller.
@@ -594,8 +596,7 @@
 	old := w.names
 	old.Close() // the old one answers no more
 	w.names = nameService(t)
-	go w.answerNames(w.names)
-	hup(strings.Replace(w.config, old.LocalAddr().String(), w.names.LocalAddr().String(), 1))
+	hup(strings.Replace(w.config, old.Addr(), w.names.Addr(), 1))
 	run(`log "configuration read anew"`)
 	run("list serial=3 s1")
 	run(`log "list 3 came after 7, not taken"`)
@@ -631,8 +632,8 @@
 	for refused < 400-64 {
 		m, err := w.peers["a"].next()
 		require.NoError(t, err)
-		require.Contains(t, m.(sipMessage).start, "503")
-		require.Equal(t, "1000", m.(sipMessage).header["Come-Back-Ms"])
+		require.Contains(t, m.(standin.Message).Start, "503")
+		require.Equal(t, "1000", m.(standin.Message).Header["Come-Back-Ms"])
 		refused++
 	}
 	require.Contains(t, w.counters(), fmt.Sprintf("Flooded:%d", 400-64))
--- /dev/null
+++ b/internal/standin/caller.go
@@ -0,0 +1,313 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// LoadConfig says what callers ask of a router.
+type LoadConfig struct {
+	Target      func() string // where to connect; asked for each connection
+	Connections int
+	Seed        uint64
+	// Rate is set-ups a second over all connections, by the clock whatever the answers (open loop). 0: each connection
+	// keeps Window set-ups unanswered instead (closed loop).
+	Rate     float64
+	Window   int
+	Most     int // set-ups in all; 0: until the context ends
+	Classes  []string
+	Numbers  []string // beginnings of the numbers called
+	Within   time.Duration
+	HangUp   float64 // share of standing calls that their callers release
+	HangUpIn time.Duration
+	Repeats  float64 // share of set-ups that are marked as repeats
+	Record   bool    // keep what became of each call
+}
+
+// LoadCounts are totals of what callers saw. Odd counts what breaks the rules: a second final answer.
+type LoadCounts struct {
+	Offered, Stood, Refused, Failed, Lost, Released, Cut, HungUp, Odd int
+	Latency                                                           []time.Duration // of final answers, where recorded
+}
+
+// Load is callers at work.
+type Load struct {
+	cfg    LoadConfig
+	mu     sync.Mutex
+	count  LoadCounts
+	ends   map[string]string // call to what became of it, where recorded
+	next   uint64
+	prefix uint64
+	done   sync.WaitGroup
+}
+
+// callerConn is one connection of callers.
+type callerConn struct {
+	l      *Load
+	w      *wire
+	random *rand.Rand
+	mu     sync.Mutex
+	open   map[string]time.Time // unanswered
+	up     map[string]bool      // standing
+	room   chan bool            // one for each set-up that may be sent, in a closed loop
+}
+
+// StartLoad has callers call until the context ends; Wait waits for the last answers.
+func StartLoad(ctx context.Context, cfg LoadConfig) *Load {
+	if cfg.Within == 0 {
+		cfg.Within = 3 * time.Second
+	}
+	if cfg.Window == 0 {
+		cfg.Window = 16
+	}
+	l := &Load{cfg: cfg, ends: map[string]string{}, prefix: rand.New(rand.NewPCG(cfg.Seed, 1)).Uint64() &^ 0xffffffff}
+	for i := range cfg.Connections {
+		l.done.Add(1)
+		go l.connection(ctx, i)
+	}
+	return l
+}
+
+// Wait waits until all connections have ended and returns the totals.
+func (l *Load) Wait() LoadCounts {
+	l.done.Wait()
+	return l.Counts()
+}
+
+// Counts returns the totals so far.
+func (l *Load) Counts() LoadCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count
+}
+
+// Ends tells what became of each call: stood, refused, failed or lost.
+func (l *Load) Ends() map[string]string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := make(map[string]string, len(l.ends))
+	for id, end := range l.ends {
+		m[id] = end
+	}
+	return m
+}
+
+// connection connects again and again until the context ends.
+func (l *Load) connection(ctx context.Context, number int) {
+	defer l.done.Done()
+	random := rand.New(rand.NewPCG(l.cfg.Seed, uint64(number)+100))
+	for ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp4", l.cfg.Target(), time.Second)
+		if err != nil {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		c := &callerConn{l: l, w: &wire{Conn: conn}, random: random, open: map[string]time.Time{}, up: map[string]bool{}, room: make(chan bool, l.cfg.Window)}
+		for range l.cfg.Window {
+			c.room <- true
+		}
+		gone := make(chan bool)
+		go func() { c.read(); close(gone) }()
+		if !c.call(ctx, gone) {
+			c.drain(gone)
+			conn.Close()
+			<-gone
+			return
+		}
+		conn.Close()
+		<-gone
+	}
+}
+
+// drain waits for the last answers and releases.
+func (c *callerConn) drain(gone chan bool) {
+	for range 100 {
+		c.mu.Lock()
+		left := len(c.open)
+		c.mu.Unlock()
+		if left == 0 {
+			break
+		}
+		select {
+		case <-gone:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// call sends set-ups; true if the connection ended before the context.
+func (c *callerConn) call(ctx context.Context, gone chan bool) bool {
+	cfg := &c.l.cfg
+	var tick <-chan time.Time
+	var due float64
+	last := time.Now()
+	if cfg.Rate > 0 {
+		t := time.NewTicker(2 * time.Millisecond)
+		defer t.Stop()
+		tick = t.C
+	}
+	for {
+		if cfg.Rate > 0 {
+			select {
+			case <-ctx.Done():
+				return false
+			case <-gone:
+				return true
+			case now := <-tick:
+				due += now.Sub(last).Seconds() * cfg.Rate / float64(cfg.Connections)
+				last = now
+			}
+			for ; due >= 1; due-- {
+				if !c.invite() {
+					return false
+				}
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-gone:
+			return true
+		case <-c.room:
+			if !c.invite() {
+				return false
+			}
+		}
+	}
+}
+
+// invite sends one set-up; false if there have been enough.
+func (c *callerConn) invite() bool {
+	l := c.l
+	l.mu.Lock()
+	if l.cfg.Most > 0 && l.count.Offered >= l.cfg.Most {
+		l.mu.Unlock()
+		return false
+	}
+	l.count.Offered++
+	l.next++
+	id := fmt.Sprintf("%016x", l.prefix+l.next)
+	l.mu.Unlock()
+	class := l.cfg.Classes[c.random.IntN(len(l.cfg.Classes))]
+	number := "4711"
+	if len(l.cfg.Numbers) > 0 {
+		number = l.cfg.Numbers[c.random.IntN(len(l.cfg.Numbers))] + strconv.Itoa(c.random.IntN(1000))
+	}
+	headers := []string{"Call-Kind", class, "Answer-Within", strconv.Itoa(int(l.cfg.Within.Milliseconds())), "Routing-Data", "dest:" + strconv.Itoa(c.random.IntN(2)) + ";width:1;via:-1"}
+	if c.random.Float64() < l.cfg.Repeats {
+		headers = append(headers, "Repeat-Mark", "1")
+	}
+	c.mu.Lock()
+	c.open[id] = time.Now()
+	c.mu.Unlock()
+	c.w.send(Request("INVITE", number, id, id+"\r\nc=IN IP4 10.4.7.9\r\n", headers...))
+	return true
+}
+
+// read takes what the router sends until the connection ends; what is unanswered then is lost.
+func (c *callerConn) read() {
+	r := bufio.NewReader(c.w)
+	for {
+		m, err := Read(r)
+		if err != nil {
+			break
+		}
+		c.take(m)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.open {
+		c.l.final(id, "lost", 0)
+	}
+	clear(c.open)
+}
+
+func (c *callerConn) take(m Message) {
+	id := m.Call()
+	switch {
+	case m.Method() == "INVITE" && m.Status() >= 200:
+		c.mu.Lock()
+		at, open := c.open[id]
+		delete(c.open, id)
+		if m.Status() == 200 {
+			c.up[id] = true
+		}
+		c.mu.Unlock()
+		if !open {
+			c.l.mu.Lock()
+			c.l.count.Odd++
+			c.l.mu.Unlock()
+			return
+		}
+		c.w.send(Request("ACK", id, id, ""))
+		switch m.Status() {
+		case 200:
+			c.l.final(id, "stood", time.Since(at))
+			if c.random.Float64() < c.l.cfg.HangUp {
+				time.AfterFunc(c.l.cfg.HangUpIn, func() { c.hangUp(id) })
+			}
+		case 503, 480:
+			c.l.final(id, "refused", time.Since(at))
+		default:
+			c.l.final(id, "failed", time.Since(at))
+		}
+		select {
+		case c.room <- true:
+		default:
+		}
+	case m.Method() == "BYE" && m.Status() == 0:
+		c.w.send(Response(200, "BYE", id, ""))
+		c.mu.Lock()
+		delete(c.up, id)
+		c.mu.Unlock()
+		c.l.mu.Lock()
+		c.l.count.Released++
+		if m.Header["Reason"] != "Q.850;cause=16" {
+			c.l.count.Cut++
+		}
+		c.l.mu.Unlock()
+	}
+}
+
+// hangUp releases a call that stands.
+func (c *callerConn) hangUp(id string) {
+	c.mu.Lock()
+	up := c.up[id]
+	delete(c.up, id)
+	c.mu.Unlock()
+	if up && c.w.send(Request("BYE", id, id, "", "Reason", "Q.850;cause=16")) {
+		c.l.mu.Lock()
+		c.l.count.HungUp++
+		c.l.mu.Unlock()
+	}
+}
+
+// final notes what became of a call.
+func (l *Load) final(id, end string, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch end {
+	case "stood":
+		l.count.Stood++
+	case "refused":
+		l.count.Refused++
+	case "failed":
+		l.count.Failed++
+	case "lost":
+		l.count.Lost++
+	}
+	if l.cfg.Record {
+		l.ends[id] = end
+		if took > 0 {
+			l.count.Latency = append(l.count.Latency, took)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/names.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// Entry is one case server of the name service's list.
+type Entry struct {
+	ID       string
+	Number   int
+	Addr     netip.AddrPort
+	Draining bool
+	Started  string // Unix milliseconds; empty: long past
+}
+
+// Names is a name service.
+type Names struct {
+	conn   *net.UDPConn
+	mu     sync.Mutex
+	serial uint32
+	list   []Entry
+	lossy  bool
+}
+
+// NewNames answers on loopback until Close. With lossy, every other query is lost.
+func NewNames(serial uint32, lossy bool) (*Names, error) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	n := &Names{conn: conn, serial: serial, lossy: lossy}
+	go n.serve()
+	return n, nil
+}
+
+// Addr is where it answers.
+func (n *Names) Addr() string { return n.conn.LocalAddr().String() }
+
+// Close ends it.
+func (n *Names) Close() { n.conn.Close() }
+
+// Set changes the list; serial 0 counts one on.
+func (n *Names) Set(serial uint32, list []Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if serial == 0 {
+		serial = n.serial + 1
+	}
+	n.serial, n.list = serial, list
+}
+
+// Serial is that of the present list.
+func (n *Names) Serial() uint32 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.serial
+}
+
+func (n *Names) serve() {
+	b := make([]byte, 1024)
+	for lost := n.lossy; ; lost = n.lossy && !lost {
+		size, from, err := n.conn.ReadFromUDP(b)
+		if err != nil {
+			return
+		}
+		if !lost {
+			n.mu.Lock()
+			answer := n.records(b[:size])
+			n.mu.Unlock()
+			n.conn.WriteToUDP(answer, from)
+		}
+	}
+}
+
+func label(names ...string) (b []byte) {
+	for _, n := range names {
+		b = append(append(b, byte(len(n))), n...)
+	}
+	return b
+}
+
+// records answers a query with the list; names below the question's and the hosts' are compressed.
+func (n *Names) records(query []byte) []byte {
+	b := append([]byte(nil), query...)
+	if len(b) < 12 {
+		return b
+	}
+	b[2] |= 0x80
+	records := 0
+	add := func(owner []byte, kind uint16, data []byte) {
+		b = append(b, owner...)
+		b = binary.BigEndian.AppendUint16(b, kind)
+		b = append(b, 0, 1, 0, 0, 0, 0)
+		b = append(binary.BigEndian.AppendUint16(b, uint16(len(data))), data...)
+		records++
+	}
+	question := []byte{0xc0, 12}
+	for _, e := range n.list {
+		priority := uint16(0)
+		if e.Draining {
+			priority = 1
+		}
+		data := binary.BigEndian.AppendUint16(nil, priority)
+		data = binary.BigEndian.AppendUint16(append(data, 0, 40), e.Addr.Port())
+		host := len(b) + 2 + 10 + 6
+		add(question, 33, append(append(data, label(e.ID, "east", "hosts")...), 0))
+		ref := []byte{0xc0 | byte(host>>8), byte(host)}
+		add(ref, 1, e.Addr.Addr().AsSlice())
+		add(ref, 16, label("kind=std", fmt.Sprintf("cell=%d", e.Number), "started="+e.Started))
+	}
+	soa := append([]byte{0xc0, 12, 0xc0, 12}, binary.BigEndian.AppendUint32(nil, n.serial)...)
+	add(question, 6, append(soa, make([]byte, 16)...))
+	binary.BigEndian.PutUint16(b[6:], uint16(records))
+	return b
+}
