--- a/cmd/threadglade/main.go
+++ b/cmd/threadglade/main.go
@@ -57,6 +57,9 @@
 		return e.code
 	}
 	fmt.Fprintln(os.Stderr, "threadglade:", err)
+	if len(args) > 0 && args[0] == "ledger" { // its commands wrap what they find: this is the command line's fault
+		return exitUsage
+	}
 	return 1
 }
 
--- a/ledger/usage.go
+++ b/ledger/usage.go
@@ -75,7 +75,7 @@
 }
 
 // Attempts is how many attempts were made, whatever became of them.
-func (u *Usage) Attempts() (n int64) {
+func (u Usage) Attempts() (n int64) {
 	for f := Concluded; f <= Lost; f++ {
 		n += u[f]
 	}
