--- a/cmd/threadglade/ledger.go
+++ b/cmd/threadglade/ledger.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"path/filepath"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -19,6 +20,9 @@
 	"threadglade.example/threadglade/ledger"
 )
 
+// mergeMemory is what a merge of ordinary size stays within, in bytes.
+const mergeMemory = 40 << 20
+
 // claimsMost claims are listed one by one.
 const claimsMost = 100
 
@@ -364,6 +368,7 @@
 }
 
 func merge(w io.Writer, files []string, csv, html string, asJSON bool) error {
+	debug.SetMemoryLimit(mergeMemory) // the collector works harder before it takes more
 	r, copies, err := mergeFiles(durable.OS{}, files)
 	if err != nil {
 		return err
--- a/cmd/threadglade/ledger_test.go
+++ b/cmd/threadglade/ledger_test.go
@@ -345,3 +345,40 @@
 	require.Equal(t, exitFinding, code)
 	require.Contains(t, text, "is no ledger")
 }
+
+// TestReload: the tenants' tables are replaced at SIGHUP while calls run; a bad file changes nothing and is named; logs are JSON
+// where the settings say so.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, 2, standin.ServerConfig{Hold: [2]time.Duration{5 * time.Millisecond, 9 * time.Millisecond}})
+	listen, dir := port(t), filepath.Join(s.dir, "ledger")
+	text := fmt.Sprintf("(threadglade\n (log (form json))\n (ledger (directory %q)\n  (tenant \"one\" (numbers \"92\"))))", dir)
+	path := s.file("settings", text)
+	c := start(t, s.config("n0", listen), "serve", "--settings", path)
+	c.await(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	load := standin.StartLoad(ctx, standin.LoadConfig{Target: func() string { return listen }, Connections: 2, Rate: 300, Classes: []string{"voice"}, Numbers: []string{"92"}})
+	hup := func(text, logged string) {
+		s.file("settings", text)
+		time.Sleep(100 * time.Millisecond)
+		require.NoError(t, c.cmd.Process.Signal(syscall.SIGHUP))
+		require.Eventually(t, func() bool { return strings.Contains(c.log(), logged) }, 5*time.Second, 5*time.Millisecond, c.log)
+		time.Sleep(100 * time.Millisecond)
+	}
+	hup(text[:len(text)-2]+"\n  (tenent \"x\")))", `settings:5: threadglade ledger: unknown field \"tenent\"`)
+	hup(strings.Replace(text, `"one"`, `"two"`, 1), "ledger_tenants")
+	cancel()
+	n := load.Wait()
+	require.Zero(t, n.Failed+n.Lost+n.Odd)
+	s.quiet()
+	c.end(t)
+	for _, line := range strings.Split(strings.TrimSpace(c.log()), "\n") {
+		require.True(t, json.Valid([]byte(line)), line)
+	}
+	v, err := ledgerio.Inspect(durable.OS{}, dir)
+	require.NoError(t, err)
+	one, two := v.Unstated[0].Totals[ledger.Key{Tenant: "one", Class: "voice"}], v.Unstated[0].Totals[ledger.Key{Tenant: "two", Class: "voice"}]
+	require.EqualValues(t, n.Offered, one[ledger.Offered]+two[ledger.Offered])
+	require.NotZero(t, one[ledger.Offered])
+	require.NotZero(t, two[ledger.Offered])
+}
--- a/internal/ledgerio/export.go
+++ b/internal/ledgerio/export.go
@@ -120,7 +120,7 @@
 	}
 	e, calls := ledger.NewExport(t, s, mends[w.st.Corrections:w.st.Plan.Corrections])
 	path := filepath.Join(w.out, e.FileName())
-	if err := writeExport(w.f, path, e, calls); err != nil {
+	if err := WriteExport(w.f, path, e, calls); err != nil {
 		return Exported{}, err
 	}
 	next := exportState{Done: s.Sequence, To: s.To, ID: e.ID, Corrections: w.st.Plan.Corrections}
@@ -130,9 +130,9 @@
 	return Exported{path, e.ID, e.Sequence, e.From, e.To}, nil
 }
 
-// writeExport makes an export appear whole. One that is there already with the same bytes stays; with others, it is an error:
+// WriteExport makes an export appear whole. One that is there already with the same bytes stays; with others, it is an error:
 // no export is ever changed.
-func writeExport(f durable.FS, path string, e *ledger.Export, calls []uint64) error {
+func WriteExport(f durable.FS, path string, e *ledger.Export, calls []uint64) error {
 	encode := func(to io.Writer) error {
 		w, err := durable.NewWriter(to, durable.Header{Kind: kindExport, Number: e.Sequence})
 		if err != nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -63,7 +63,7 @@
 // return at once. Whoever lets a ticket pass calls Nudge.
 type Gate interface {
 	Commit() (ticket uint64)
-	Passed() (ticket uint64)
+	Passed() (ticket uint64) // asked once a turn, after Commit
 	// Patience is how long the loop may wait before it asks Passed again although nobody has nudged it.
 	Patience() time.Duration
 }
@@ -90,10 +90,10 @@
 	}
 	clear(l.corked)
 	l.corked = l.corked[:0]
+	passed, done := l.gate.Passed(), 0
 	if len(l.waiting) == 0 {
 		return
 	}
-	passed, done := l.gate.Passed(), 0
 	for done < len(l.waiting) && l.waiting[done].ticket <= passed {
 		c := l.waiting[done].c
 		c.free += l.waiting[done].n
--- /dev/null
+++ b/internal/scenario/ledger_test.go
@@ -0,0 +1,85 @@
+package scenario
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"threadglade.example/threadglade/internal/ledgerio"
+	"threadglade.example/threadglade/ledger"
+)
+
+// TestLedgerDisk: a set-up leaves once its intent is written; where the disk is slow or full, it leaves after the patience, and later
+// ones at once. Refusing instead is a setting.
+func TestLedgerDisk(t *testing.T) {
+	const begin = "s0 open number=0\ns1 open number=1\n"
+	playAll(t, map[string]string{
+		"slow": begin + `start ledger
+			a open
+			a send INVITE c1
+			s0 expect INVITE c1
+			disk slow
+			a send INVITE c2
+			s0 none
+			wait 15ms
+			s0 none
+			wait 30ms
+			s0 expect INVITE c2
+			log "the disk does not keep up; calls go on without"
+			a send INVITE c3
+			s0 expect INVITE c3
+			s0 send 200 INVITE c3 Body=x
+			a expect 200 INVITE c3 Body=x
+			s0 send BYE c3 Reason=Q.850;cause=16
+			a expect BYE c3
+			disk back
+			log "the disk has caught up"`,
+		"full": begin + `start ledger
+			a open
+			a send INVITE c1
+			s0 expect INVITE c1
+			disk full
+			a send INVITE c2
+			s0 expect INVITE c2
+			log "calls go on without"
+			a send INVITE c3
+			s0 expect INVITE c3
+			disk back
+			log "the disk has caught up"`,
+		"refuse": begin + `start ledger refuse
+			a open
+			disk slow
+			a send INVITE c1
+			log "calls are refused"
+			s0 expect INVITE c1
+			a send INVITE c2
+			a expect 503 INVITE c2 Come-Back-Ms=1000
+			s0 none
+			disk back
+			log "the disk has caught up"
+			a send INVITE c3
+			s0 expect INVITE c3`,
+	})
+}
+
+// TestLedgerTenants: a call is its session's identity's, or else its caller's network's.
+func TestLedgerTenants(t *testing.T) {
+	w := play(t, `s0 open number=0
+		start callcontrol ledger
+		w1 open id=desk7
+		w1 send {"jsonrpc":"2.0","id":1,"method":"call.place","params":{"class":"voice","number":"4711","destination":0,"answerWithinMs":2000}}
+		s0 expect INVITE
+		a open
+		a send INVITE c2
+		s0 expect INVITE c2
+		a send CANCEL c2
+		a expect 487 INVITE c2`)
+	require.NoError(t, w.do("wait 300ms"))
+	v, err := ledgerio.Inspect(w.disk, "ledger")
+	require.NoError(t, err)
+	require.Len(t, v.Book.Calls, 1)
+	for _, c := range v.Book.Calls {
+		require.Equal(t, "lda", v.Book.Name(c.Tenant))
+	}
+	require.Equal(t, ledger.Usage{ledger.Offered: 1, ledger.Left: 1, ledger.Cancelled: 1}, *v.Unstated[0].Totals[ledger.Key{Tenant: "kda", Class: "voice"}])
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -8,8 +8,10 @@
 //	NAME send MESSAGE        SIP: METHOD or STATUS METHOD, call or #id, Header=Value..., Body=text; wN: JSON
 //	NAME raw "text"          these bytes (Go syntax)
 //	NAME expect MESSAGE      the next message is this one; values match as parts; "silence", "closed"
+//	NAME none                nothing has come, by now; for when the router answers nobody
 //	NAME close               end the connection; sN: and the listener; "sN hang": the machine vanishes
 //	list [serial=N] sN[=draining|@ms]...  the name service now has this list
+//	disk slow|back|full      the ledger's disk stops, takes nothing, or is as before
 //	wait DURATION            the router's clock moves on
 //	log "text"               the clock moves on until the router has logged this
 //	quiet "text"             it has not logged this since
@@ -35,9 +37,12 @@
 	"golang.org/x/sys/unix"
 
 	"threadglade.example/threadglade/internal/callcontrol"
+	"threadglade.example/threadglade/internal/durable/durabletest"
 	"threadglade.example/threadglade/internal/identity"
+	"threadglade.example/threadglade/internal/ledgerio"
 	"threadglade.example/threadglade/internal/node"
 	"threadglade.example/threadglade/internal/standin"
+	"threadglade.example/threadglade/ledger"
 )
 
 const patience = 5 * time.Second // for an event that never comes
@@ -65,6 +70,9 @@
 	listing []string
 	second  netip.AddrPort
 	config  string // as the router was started with
+	disk    *durabletest.FS
+	full    atomic.Bool
+	back    func()
 	check   callcontrol.Verify
 }
 
@@ -93,6 +101,9 @@
 }
 
 func (w *world) end() {
+	if w.back != nil {
+		w.back()
+	}
 	w.names.Close()
 	for _, p := range w.peers {
 		p.close()
@@ -133,6 +144,16 @@
 		}
 		w.names.Set(serial, w.entries())
 		return nil
+	case "disk":
+		if w.back != nil {
+			w.back()
+		}
+		w.back = nil
+		w.full.Store(rest == "full")
+		if rest == "slow" {
+			w.back = w.disk.Slow()
+		}
+		return nil
 	case "quiet":
 		text, err := strconv.Unquote(rest)
 		if err == nil && strings.Contains(w.log()[w.seen:], text) {
@@ -179,6 +200,12 @@
 	case "close":
 		p.close()
 		return nil
+	case "none":
+		time.Sleep(20 * time.Millisecond)
+		if len(p.in) > 0 {
+			return fmt.Errorf("got %v", <-p.in)
+		}
+		return nil
 	case "hang":
 		return p.hang()
 	}
@@ -222,6 +249,22 @@
 		return err
 	}
 	clock := func() time.Duration { return time.Duration(w.clock.Load()) }
+	if strings.Contains(flags, "ledger") {
+		o := ledgerio.Defaults()
+		o.Dir, o.Terms.Router, o.Refuse = "ledger", "n0", strings.Contains(flags, "refuse")
+		if o.Tenants, err = ledger.NewDirectory(nil, []ledger.Rule{{Tenant: "lda", Identities: []string{"spiffe://b.example/*"}},
+			{Tenant: "kda", Networks: []string{"127.0.0.0/8"}}}); err != nil {
+			return err
+		}
+		w.disk = durabletest.New(1)
+		w.disk.Plan = func(s durabletest.Step) durabletest.Fault {
+			if w.full.Load() && s.What == "write" {
+				return durabletest.Fail
+			}
+			return durabletest.None
+		}
+		c.Product.Ledger, c.FS = &o, w.disk
+	}
 	if w.node, err = node.New(c, clock, node.Logger(w, "n0", zerolog.InfoLevel, false)); err != nil {
 		return err
 	}
@@ -240,6 +283,9 @@
 	if !strings.HasPrefix(token, "desk") {
 		return identity.Caller{}, errors.New("wrong token")
 	}
+	if token == "desk7" { // in full, as the real one tells it
+		token = "spiffe://b.example/desk7"
+	}
 	return identity.Caller{ID: token, Expires: time.Unix(0, w.clock.Load()).Add(time.Minute)}, nil
 }
 
--- a/ledger/export.go
+++ b/ledger/export.go
@@ -13,6 +13,7 @@
 	"maps"
 	"slices"
 	"time"
+	"unique"
 )
 
 // Kinds of frames in an export file; docs/formats/ledger.md has the whole form.
@@ -32,9 +33,9 @@
 
 // Line is what one tenant has used of one class.
 type Line struct {
-	Tenant string           `json:"tenant"`
-	Class  string           `json:"class"`
-	Usage  map[string]int64 `json:"usage"`
+	Tenant string `json:"tenant"`
+	Class  string `json:"class"`
+	Usage  Usage  `json:"usage"`
 }
 
 // Correction changes one figure of a period that was closed before.
@@ -105,7 +106,7 @@
 	e := &Export{Router: t.Router, Sequence: s.Sequence, From: s.From, To: s.To, Length: t.Length, Spilled: s.Spilled,
 		Unknown: s.Unknown, Count: uint64(len(s.Calls))}
 	for _, key := range slices.SortedFunc(maps.Keys(s.Totals), compareKeys) {
-		e.Lines = append(e.Lines, Line{key.Tenant, key.Class, s.Totals[key].Map()})
+		e.Lines = append(e.Lines, Line{key.Tenant, key.Class, *s.Totals[key]})
 	}
 	for _, period := range slices.Sorted(maps.Keys(s.Late)) {
 		for _, key := range slices.SortedFunc(maps.Keys(s.Late[period]), compareKeys) {
@@ -242,7 +243,14 @@
 		case frameLines:
 			var rows []Line
 			err = read(payload, &rows)
-			e.Lines = append(e.Lines, rows...)
+			if e.Lines == nil {
+				e.Lines = make([]Line, 0, min(max(h.Lines, 0), 1<<20))
+			}
+			for _, l := range rows {
+				// The same few names stand in every export; one copy of each is enough.
+				l.Tenant, l.Class = unique.Make(l.Tenant).Value(), unique.Make(l.Class).Value()
+				e.Lines = append(e.Lines, l)
+			}
 		case frameCorrections:
 			var rows []Correction
 			err = read(payload, &rows)
@@ -298,12 +306,7 @@
 // check says what does not add up in an export.
 func (e *Export) check() error {
 	for _, l := range e.Lines {
-		var u Usage
-		err := u.set(l.Usage)
-		if err == nil {
-			err = u.Balance()
-		}
-		if err != nil {
+		if err := l.Usage.Balance(); err != nil {
 			return fmt.Errorf("%w: %s, %s: %v", ErrContent, l.Tenant, l.Class, err)
 		}
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -132,13 +132,6 @@
 	return u
 }
 
-func usage(m map[string]int64) (u Usage) {
-	if err := u.set(m); err != nil {
-		panic(err)
-	}
-	return u
-}
-
 // TestEdges has a call in every way that it can go and asks for what is counted, and in which period.
 func TestEdges(t *testing.T) {
 	lda := Key{"lda", "voice"}
--- a/ledger/merge.go
+++ b/ledger/merge.go
@@ -105,11 +105,9 @@
 	}
 	for _, e := range m.exports {
 		for _, l := range e.Lines {
-			var u Usage
-			u.set(l.Usage) // checked when it was read
 			r := row(e.From, Key{l.Tenant, l.Class})
-			r.Stated.Add(&u)
-			r.Mended.Add(&u)
+			r.Stated.Add(&l.Usage)
+			r.Mended.Add(&l.Usage)
 		}
 		for _, c := range e.Corrections {
 			f, _ := ParseField(c.Field)
--- a/ledger/usage.go
+++ b/ledger/usage.go
@@ -5,7 +5,9 @@
 package ledger
 
 import (
+	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"threadglade.example/threadglade"
@@ -101,8 +103,28 @@
 	return m
 }
 
-// set takes figures by name.
-func (u *Usage) set(m map[string]int64) error {
+// MarshalJSON writes the figures that are not zero, by name, in the order of the fields.
+func (u Usage) MarshalJSON() ([]byte, error) {
+	b := []byte{'{'}
+	for f, n := range u {
+		if n != 0 {
+			if len(b) > 1 {
+				b = append(b, ',')
+			}
+			b = append(append(append(b, '"'), fieldNames[f]...), '"', ':')
+			b = strconv.AppendInt(b, n, 10)
+		}
+	}
+	return append(b, '}'), nil
+}
+
+// UnmarshalJSON reads figures by name; the error names one that is not known.
+func (u *Usage) UnmarshalJSON(b []byte) error {
+	var m map[string]int64
+	if err := json.Unmarshal(b, &m); err != nil {
+		return err
+	}
+	*u = Usage{}
 	for name, n := range m {
 		f, err := ParseField(name)
 		if err != nil {
--- /dev/null
+++ b/router/observer_test.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"threadglade.example/threadglade"
+)
+
+// watch is an observer that writes down what it hears.
+type watch struct{ heard []string }
+
+var kindNames = map[Kind]string{Arrived: "arrived", Sent: "sent", AttemptEnded: "attempt ended", Stood: "stood", Refused: "refused", Failed: "failed",
+	Left: "left", Ghost: "ghost", Ended: "ended", Over: "over", OrphanRelease: "orphan", StrayRelease: "stray", Listed: "listed", Reported: "reported"}
+
+func (w *watch) Observe(e Event) {
+	text := kindNames[e.Kind] + " " + e.Call
+	if e.Kind == Listed || e.Kind == Reported || e.Kind == Sent {
+		text += " " + e.Server
+	}
+	if e.Kind == AttemptEnded || e.Kind == Ended {
+		text += fmt.Sprint(" ", e.Outcome)
+	}
+	w.heard = append(w.heard, text)
+}
+
+func (w *watch) take() (heard []string) { heard, w.heard = w.heard, nil; return heard }
+
+// TestObserver hears of everything in order, each thing once, and of nothing after Over.
+func TestObserver(t *testing.T) {
+	r, d, now := start(t)
+	w := &watch{}
+	r.cfg.Observer = w
+	r.cfg.Orphan, r.cfg.Stray = func(string, threadglade.Outcome) {}, func(string) {}
+	r.Answered("a", 0, nil)
+	r.Ended("a", 0, threadglade.Concluded, 0)
+	r.Ended("a", 0, threadglade.Concluded, 0)
+	require.Equal(t, []string{"stood a", "ended a 0", "over a"}, w.take())
+	r.Arrive(d, d.request("b", *now+time.Second))
+	r.Leave(d, "b")
+	require.Equal(t, []string{"arrived b", "sent b s0", "left b", "attempt ended b 6", "over b"}, w.take())
+	r.Arrive(d, d.request("c", *now+time.Second))
+	r.Orphan("c", threadglade.Concluded)
+	require.Equal(t, []string{"arrived c", "sent c s0", "ghost c", "failed c", "attempt ended c 6", "over c"}, w.take())
+	r.Orphan("y", threadglade.Cut)
+	r.Orphan("y", threadglade.Cut)
+	r.Release("z")
+	r.Release("a")
+	require.Equal(t, []string{"orphan y", "stray z"}, w.take())
+	r.Arrive(d, d.request("e", *now+time.Second))
+	*now += 2 * time.Second
+	r.Tick()
+	require.Equal(t, "over e", w.heard[len(w.heard)-1])
+	w.take()
+	r.Agents(threadglade.Agents{Server: "s0", Free: 1, Total: 2})
+	r.List(threadglade.ServerList{Delta: true, Servers: []threadglade.Server{{ID: "s0", State: threadglade.Draining}}})
+	require.Equal(t, []string{"reported  s0", "listed  s0"}, w.take())
+	r.cfg.Admit = func(Request) (bool, time.Duration) { return false, time.Second }
+	d.take()
+	r.Arrive(d, d.request("f", *now+time.Second))
+	require.Equal(t, []string{"arrived f", "refused f", "over f"}, w.take())
+	require.Equal(t, []string{"refused f"}, d.take())
+	require.Zero(t, r.Open())
+}
