--- a/cmd/threadglade/bench_test.go
+++ b/cmd/threadglade/bench_test.go
@@ -22,6 +22,8 @@
 // These take too long for CI. docs/design/ledger.md quotes what they print:
 //
 //	go test ./cmd/threadglade -run '^$' -bench Serve -benchtime 1x -timeout 20m
+//
+// OTHER names another build of the program, to be measured beside this one with the ledger off.
 
 // outcome is what one measured life of a router comes to.
 type outcome struct {
@@ -32,14 +34,14 @@
 }
 
 // measure has a router carry as many calls as it can for a while.
-func measure(b *testing.B, books bool, rate float64, span time.Duration) outcome {
+func measure(b *testing.B, program string, books bool, rate float64, span time.Duration) outcome {
 	s := newStage(b, 3, standin.ServerConfig{Seed: 1, Hold: [2]time.Duration{time.Millisecond, 3 * time.Millisecond}, Agents: 1 << 19})
 	listen, args := port(b), []string{"serve"}
 	dir := filepath.Join(s.dir, "ledger")
 	if books {
 		args = append(args, "--settings", s.file("settings", fmt.Sprintf(`(threadglade (ledger (directory %q) (period 1m) (tenant "lda" (numbers "92"))))`, dir)))
 	}
-	c := start(b, s.config("n0", listen), args...)
+	c := startProgram(b, program, s.config("n0", listen), args...)
 	c.await(b)
 	ctx, cancel := context.WithTimeout(b.Context(), span)
 	defer cancel()
@@ -78,18 +80,26 @@
 			name = fmt.Sprintf("%v a second", rate)
 		}
 		b.Run(name, func(b *testing.B) {
-			const pairs = 3
-			var calls, cpu, p50, p99 [2][]float64
+			const pairs = 5
+			var calls, cpu, p50, p99 [3][]float64
+			words := []string{"off", "on", "other"}
+			if os.Getenv("OTHER") == "" {
+				words = words[:2]
+			}
 			bytes := 0.0
 			for range pairs {
-				for on := range 2 {
-					o := measure(b, on == 1, rate, 4*time.Second)
+				for on, word := range words {
+					program := os.Args[0]
+					if word == "other" {
+						program = os.Getenv("OTHER")
+					}
+					o := measure(b, program, word == "on", rate, 4*time.Second)
 					calls[on], cpu[on] = append(calls[on], o.calls), append(cpu[on], o.cpu)
 					p50[on], p99[on] = append(p50[on], float64(o.p50.Microseconds())), append(p99[on], float64(o.p99.Microseconds()))
 					bytes = max(bytes, o.bytes)
 				}
 			}
-			for on, word := range []string{"off", "on"} {
+			for on, word := range words {
 				b.ReportMetric(median(calls[on]), "calls/s-"+word)
 				b.ReportMetric(median(cpu[on]), "us-cpu/call-"+word)
 				if rate > 0 {
--- a/cmd/threadglade/child_test.go
+++ b/cmd/threadglade/child_test.go
@@ -126,7 +126,11 @@
 
 // start runs the program with more in its environment.
 func start(t testing.TB, env []string, args ...string) *child {
-	c := &child{cmd: exec.Command(os.Args[0], args...), ready: make(chan bool), ended: make(chan struct{})}
+	return startProgram(t, os.Args[0], env, args...)
+}
+
+func startProgram(t testing.TB, program string, env []string, args ...string) *child {
+	c := &child{cmd: exec.Command(program, args...), ready: make(chan bool), ended: make(chan struct{})}
 	c.cmd.Env = append(append(os.Environ(), "CHILD=1"), env...)
 	r, err := c.cmd.StderrPipe()
 	require.NoError(t, err)
--- a/internal/node/product.go
+++ b/internal/node/product.go
@@ -87,7 +87,7 @@
 			fmt.Fprintf(w, " (export %q)", o.Export)
 		}
 		tenants, networks := o.Tenants.Size()
-		fmt.Fprintf(w, ")\n  ; %d tenants, %d networks, precedence %s", tenants, networks, strings.Join(o.Tenants.Precedence(), ", "))
+		fmt.Fprintf(w, ")\n  ; %d tenants, %d networks, precedence %s\n", tenants, networks, strings.Join(o.Tenants.Precedence(), ", "))
 	}
 	fmt.Fprintln(w, ")")
 }
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -37,6 +37,8 @@
 	// the middleware's.
 	Describe func(r *http.Request, now time.Duration) router.Request
 	Log      zerolog.Logger // the zero value logs nothing
+	// Observer hears what happens; nil: nobody does. It is called by whichever goroutine works on the core, one at a time.
+	Observer router.Observer
 	// Most requests may be in the core at once, 10,000 if 0: more are refused at once.
 	Most int
 }
@@ -68,7 +70,7 @@
 	}
 	var err error
 	c.router, err = router.New(router.Config{Settings: cfg.Settings, Seed: cfg.Seed, Clock: cfg.Clock, Trunk: trunk{c},
-		Log: cfg.Log, Wake: c.Wake})
+		Log: cfg.Log, Wake: c.Wake, Observer: cfg.Observer})
 	if err != nil {
 		return nil, err
 	}
