Name the reason of each action, and what the Controller knows of a server

Need: the trace has to say why a call was sent, held, refused or given up, and what the decision saw.

--- a/api.go
+++ b/api.go
@@ -185,21 +185,27 @@
 	Call    string
 	Server  string
 	Timeout time.Duration
+	Why     Reason // FirstChoice, Remembered or Drawn
 }
 
 // Refuse is a final answer: rejected, with advice on when to try again (0: none).
 type Refuse struct {
 	Call       string
 	RetryAfter time.Duration
+	Why        Reason
 }
 
 // Fail is a final answer: given up.
-type Fail struct{ Call string }
+type Fail struct {
+	Call string
+	Why  Reason
+}
 
 // GiveUp withdraws an attempt that is out: its Ended comes as Cancelled, unless another end is on its way.
 type GiveUp struct {
 	Call    string
 	Attempt int
+	Why     Reason
 }
 
 // SetTimer asks for a Due at or after a clock time.
@@ -217,3 +223,31 @@
 func (GiveUp) action()    {}
 func (SetTimer) action()  {}
 func (Subscribe) action() {}
+
+// Reason is why an action was taken. The numbers stand in trace files.
+type Reason int
+
+// Reasons. Those from Gapped to NoServer tell what kept the call's first choice from taking it.
+const (
+	NoReason     Reason = iota
+	FirstChoice         // sent to the server that the call names
+	Remembered          // sent to the server that took such calls before
+	Drawn               // sent to one drawn at random
+	Gapped              // the server's admission rate was used up
+	Resting             // the server failed a moment ago
+	OnTrial             // set-ups there were unanswered for too long
+	Hopeless            // its answers came too late for this call's aim
+	BudgetSpent         // this proxy's share of what it can take was used up, as of a cold server's
+	NotUp               // it drains or is gone
+	NotSkilled          // it may not take the class
+	NoServer            // the call names none that is known
+	UnknownClass        // the call's class does not exist
+	OutOfTime           // the caller's time was up
+	NumberBusy          // all lines of the number were busy
+	CrowdedOut          // too many calls waited that are worth more
+	Returned            // a server turned it away
+	OwnFault            // servers found fault with it
+	NoFurther           // no further attempt is allowed, or would come in time
+	Overtaken           // a later set-up was answered first: this one was lost
+	Unbillable          // refused before any decision
+)
--- a/controller.go
+++ b/controller.go
@@ -101,6 +101,7 @@
 	servers    []*server // in the order in which they were first listed
 	byID       map[string]*server
 	remembered *server
+	drawn      bool // anew since it was last sent a call
 	calls      map[string]*call
 	timers     map[int64]*call
 	lastToken  int64
@@ -358,7 +359,7 @@
 	k := &call{Arrival: e, class: c.classes[e.Class], deadline: c.now + e.TimeLeft}
 	c.calls[e.Call] = k
 	if k.class == nil || e.TimeLeft <= 0 || c.now < c.busy[k.Number].until {
-		c.refuse(k)
+		c.refuse(k, c.unfit(k))
 		return
 	}
 	c.recall(k)
@@ -449,7 +450,7 @@
 	if len(c.waiting) > holdMost {
 		last := c.waiting[len(c.waiting)-1]
 		c.waiting = c.waiting[:len(c.waiting)-1]
-		c.refuse(last)
+		c.refuse(last, CrowdedOut)
 	}
 }
 
@@ -463,7 +464,7 @@
 			continue
 		}
 		if c.now >= k.deadline {
-			c.refuse(k)
+			c.refuse(k, OutOfTime)
 			continue
 		}
 		switch s := c.pick(k); {
@@ -471,7 +472,7 @@
 			c.measure(k, s)
 			c.send(k, s)
 		case c.now >= k.patience:
-			c.refuse(k)
+			c.refuse(k, c.obstacle(k))
 		default:
 			kept = append(kept, k)
 		}
@@ -501,7 +502,7 @@
 	c.timer(k, c.now+k.lateAge())
 	c.timer(k, c.now+k.stopAge())
 	s.out++
-	c.do(Send{Call: k.Call, Server: s.ID, Timeout: k.deadline - c.now})
+	c.do(Send{Call: k.Call, Server: s.ID, Timeout: k.deadline - c.now, Why: c.chosen(k, s)})
 }
 
 func (c *Controller) stand(e Stood) {
@@ -635,7 +636,7 @@
 	wait := c.set.Rules.ReleaseWait + s.latest
 	if !k.lost && c.set.Limits.Cancel && k.class.Repeat == RepeatFree &&
 		k.attempts < c.set.Limits.MaxAttempts && c.now+wait < k.deadline {
-		c.do(GiveUp{Call: k.Call, Attempt: k.attempts - 1})
+		c.do(GiveUp{Call: k.Call, Attempt: k.attempts - 1, Why: Overtaken})
 	}
 	k.lost = true
 	return true
@@ -671,13 +672,13 @@
 		c.again(k, 0)
 	case e.Outcome == Faulted && e.Cause == CauseLinesBusy:
 		c.spare(k.Number)
-		c.refuse(k)
+		c.refuse(k, NumberBusy)
 	case e.Outcome == Unreachable, e.Outcome == Faulted && k.faults < faultsOfCall:
 		c.again(k, 0)
 	case e.Outcome == Cut || e.Outcome == TimedOut || e.Outcome == Cancelled:
 		c.again(k, c.set.Rules.ReleaseWait)
 	default:
-		c.refuse(k)
+		c.refuse(k, returned(e))
 	}
 }
 
@@ -686,7 +687,7 @@
 	switch {
 	case k.attempts >= c.set.Limits.MaxAttempts, k.mayHold && k.class.Repeat != RepeatFree,
 		c.now+wait >= k.deadline:
-		c.refuse(k)
+		c.refuse(k, NoFurther)
 	case wait > 0:
 		k.resume = c.now + wait
 		c.timer(k, k.resume)
@@ -705,12 +706,9 @@
 	k := c.timers[e.Token]
 	delete(c.timers, e.Token)
 	switch {
-	case k == nil || k.stood:
+	case k == nil || k.stood || k.out && c.overtake(k):
 		return
 	case k.out:
-		if c.overtake(k) {
-			return
-		}
 		if c.now-k.sent >= k.lateAge() {
 			c.count(k)
 		}
@@ -727,7 +725,7 @@
 		return
 	}
 	if c.now >= k.deadline {
-		c.refuse(k)
+		c.refuse(k, OutOfTime)
 		return
 	}
 	k.resume = 0
@@ -747,14 +745,14 @@
 }
 
 // refuse gives the final answer: refused, or failed where something may have run.
-func (c *Controller) refuse(k *call) {
+func (c *Controller) refuse(k *call, why Reason) {
 	k.closed = true
 	delete(c.calls, k.Call)
 	if k.mayHold {
-		c.do(Fail{Call: k.Call})
+		c.do(Fail{Call: k.Call, Why: why})
 		return
 	}
-	c.do(Refuse{Call: k.Call, RetryAfter: c.advice()})
+	c.do(Refuse{Call: k.Call, RetryAfter: c.advice(), Why: why})
 }
 
 // advice is when a refused caller had best try again: soon, while the aim can still be met.
@@ -807,7 +805,7 @@
 			continue
 		}
 		if ticket -= s.weight(); ticket < 0 {
-			c.remembered = s
+			c.remembered, c.drawn = s, true
 			break
 		}
 	}
--- a/controller_test.go
+++ b/controller_test.go
@@ -417,7 +417,7 @@
 	r.wait(30 * ms)
 	r.do(Stood{Call: sound, Server: "a", After: 30 * ms})
 	r.wait(160 * ms)
-	want := GiveUp{Call: lost}
+	want := GiveUp{Call: lost, Why: Overtaken}
 	if got := r.fire(first); !slices.Contains(got, Action(want)) {
 		t.Fatalf("not given up: %v", got)
 	}
