Record what a router decides and why in trace files, with tools that work on them

Change: package trace (records, blocks of columns in zstd, an index of roaring bitmaps, selection, estimated clocks and merging, keyed hashes, summaries, a call's story, ranking of causes, OpenTelemetry export, a page with plots) without I/O; internal/traceio records through a lock-free queue, rotates files and keeps a flight recorder in memory; (trace ...) in the settings; threadglade trace info, verify, cut, merge, anonymise, summary, explain, why, report, export. Reports of latency and room are passed to the observer where there is a trace.

--- a/cmd/threadglade/ledger.go
+++ b/cmd/threadglade/ledger.go
@@ -30,25 +30,7 @@
 	root := &cobra.Command{Use: "ledger", Short: "Work on the files of the tenants' use; no router need be running",
 		Long: "Work on the files of the tenants' use; no router need be running.\nExit code 0: good, 1: a finding, 2: usage."}
 	asJSON := root.PersistentFlags().Bool("json", false, "print JSON")
-	add := func(cmd *cobra.Command, f func(cmd *cobra.Command, args []string) error) *cobra.Command {
-		args := cmd.Args
-		cmd.Args = func(cmd *cobra.Command, list []string) error { return usage(args(cmd, list)) }
-		cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-		cmd.RunE = func(cmd *cobra.Command, list []string) error {
-			err := f(cmd, list)
-			var e exit
-			if err != nil && !errors.As(err, &e) {
-				err = exit{exitFinding, err}
-			}
-			return err
-		}
-		root.AddCommand(cmd)
-		return cmd
-	}
-	root.RunE = func(cmd *cobra.Command, args []string) error {
-		return usage(errors.New("ledger: verify, show, export, correct or merge is wanted; see --help"))
-	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+	add := tools(root, "ledger: verify, show, export, correct or merge is wanted; see --help")
 
 	add(&cobra.Command{Use: "verify DIR", Short: "Check every byte of a ledger", Args: cobra.ExactArgs(1)},
 		func(cmd *cobra.Command, args []string) error { return verify(cmd.OutOrStdout(), args[0], *asJSON) })
--- a/cmd/threadglade/main.go
+++ b/cmd/threadglade/main.go
@@ -1,5 +1,6 @@
 // Command threadglade is the call router and its tools: serve runs it (serve.go), check reads its configuration, version names
-// the build, ledger works on the files of the tenants' use (ledger.go). These files own the command line: they parse
+// the build, ledger works on the files of the tenants' use (ledger.go), trace on what
+// routers decided (trace.go). These files own the command line: they parse
 // arguments and print, and must never decide anything.
 package main
 
@@ -40,7 +41,7 @@
 func run(args []string) int {
 	root := &cobra.Command{Use: "threadglade", Short: "A call router between callers and case servers",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(serveCommand(), checkCommand(), ledgerCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), ledgerCommand(), traceCommand(),
 		&cobra.Command{Use: "version", Short: "Name the build", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "threadglade", version()) }},
 	)
@@ -57,12 +58,33 @@
 		return e.code
 	}
 	fmt.Fprintln(os.Stderr, "threadglade:", err)
-	if len(args) > 0 && args[0] == "ledger" { // its commands wrap what they find: this is the command line's fault
+	if len(args) > 0 && (args[0] == "ledger" || args[0] == "trace") { // its commands wrap what they find: this is the command line's fault
 		return exitUsage
 	}
 	return 1
 }
 
+// tools makes the commands of a group work on files: what is wrong with their arguments ends with exitUsage, what they find with
+// exitFinding.
+func tools(root *cobra.Command, hint string) func(*cobra.Command, func(*cobra.Command, []string) error) *cobra.Command {
+	root.RunE = func(*cobra.Command, []string) error { return usage(errors.New(hint)) }
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+	return func(cmd *cobra.Command, f func(*cobra.Command, []string) error) *cobra.Command {
+		args := cmd.Args
+		cmd.Args = func(cmd *cobra.Command, list []string) error { return usage(args(cmd, list)) }
+		cmd.RunE = func(cmd *cobra.Command, list []string) error {
+			err := f(cmd, list)
+			var e exit
+			if err != nil && !errors.As(err, &e) {
+				err = exit{exitFinding, err}
+			}
+			return err
+		}
+		root.AddCommand(cmd)
+		return cmd
+	}
+}
+
 // version is what the build knows of itself.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- /dev/null
+++ b/cmd/threadglade/trace.go
@@ -0,0 +1,369 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"threadglade.example/threadglade/internal/durable"
+	"threadglade.example/threadglade/internal/traceio"
+	"threadglade.example/threadglade/trace"
+)
+
+func traceCommand() *cobra.Command {
+	root := &cobra.Command{Use: "trace", Short: "Work on trace files: what each router decided and why",
+		Long: "Work on trace files: what each router decided and why. No router need be running.\nExit code 0: good, 1: a finding, 2: usage."}
+	asJSON := root.PersistentFlags().Bool("json", false, "print JSON")
+	add := tools(root, "trace: info, verify, cut, merge, anonymise, summary, explain, why, report or export is wanted; see --help")
+
+	add(&cobra.Command{Use: "info FILE...", Short: "Say what files hold", Args: cobra.MinimumNArgs(1)},
+		func(cmd *cobra.Command, args []string) error { return traceInfo(cmd.OutOrStdout(), args, *asJSON) })
+	add(&cobra.Command{Use: "verify FILE", Short: "Check every byte of a file; one that a crash cut off is good up to there", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error { return traceVerify(cmd.OutOrStdout(), args[0], *asJSON) })
+
+	var out, from, to, key string
+	var s trace.Selection
+	span := func(cmd *cobra.Command) {
+		cmd.Flags().StringVar(&from, "from", "", "first time that is wanted (2026-12-01T14:00:00Z)")
+		cmd.Flags().StringVar(&to, "to", "", "time from which nothing is wanted any more")
+	}
+	output := func(cmd *cobra.Command) {
+		cmd.Flags().StringVarP(&out, "output", "o", "", "file to write")
+		cmd.MarkFlagRequired("output")
+	}
+	cut := add(&cobra.Command{Use: "cut FILE --from T --to T -o OUT", Short: "Cut a time, or the calls of a class, server, outcome or id, out of a file", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			if err := times(&s, from, to); err != nil {
+				return usage(err)
+			}
+			c, err := traceio.CutFile(durable.OS{}, args[0], out, s)
+			if err != nil {
+				return err
+			}
+			return put(cmd.OutOrStdout(), *asJSON, c, func(w io.Writer) {
+				fmt.Fprintf(w, "%d records, %d of them from before the cut; of %d blocks %d were read and %d copied\n", c.Records, c.Carried, c.Of, c.Blocks, c.Whole)
+			})
+		})
+	span(cut)
+	output(cut)
+	cut.Flags().StringVar(&s.Class, "class", "", "only calls of this class")
+	cut.Flags().StringVar(&s.Tenant, "tenant", "", "only calls of this tenant")
+	cut.Flags().StringVar(&s.Server, "server", "", "only calls that had to do with this server, and what it reported")
+	cut.Flags().StringVar(&s.Outcome, "outcome", "", "only calls with this end or an attempt with it")
+	cut.Flags().StringVar(&s.Call, "call", "", "only this call")
+
+	merge := add(&cobra.Command{Use: "merge FILE... -o OUT", Short: "Bring several routers' files together, whose clocks differ", Args: cobra.MinimumNArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			debug.SetMemoryLimit(mergeMemory * 2)
+			clocks, records, err := traceio.MergeFiles(durable.OS{}, args, out)
+			if err != nil {
+				return err
+			}
+			return put(cmd.OutOrStdout(), *asJSON, map[string]any{"records": records, "clocks": clocks}, func(w io.Writer) {
+				for _, c := range clocks {
+					fmt.Fprintln(w, c)
+					if c.Guess {
+						fmt.Fprintln(w, "  nothing was seen alike: this clock is guessed")
+					}
+				}
+				fmt.Fprintf(w, "%d records\n", records)
+			})
+		})
+	output(merge)
+
+	hide := add(&cobra.Command{Use: "anonymise FILE -o OUT --key FILE", Short: "Put keyed hashes in the place of numbers, ids, addresses and identities", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(key)
+			if err != nil {
+				return usage(err)
+			}
+			n, err := traceio.HideFile(durable.OS{}, args[0], out, text)
+			if err != nil {
+				return err
+			}
+			return put(cmd.OutOrStdout(), *asJSON, map[string]any{"blocks": n}, func(w io.Writer) { fmt.Fprintf(w, "%d blocks\n", n) })
+		})
+	output(hide)
+	hide.Flags().StringVar(&key, "key", "", "file whose bytes are the key, at least 16 of them")
+	hide.MarkFlagRequired("key")
+
+	var by, every string
+	summary := add(&cobra.Command{Use: "summary FILE", Short: "Sum up by class, tenant, server or reason", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			var d time.Duration
+			if every != "" {
+				var err error
+				if d, err = time.ParseDuration(every); err != nil || d < time.Millisecond {
+					return usage(fmt.Errorf("every: %q is no duration", every))
+				}
+			}
+			return traceSummary(cmd.OutOrStdout(), args[0], by, d, *asJSON)
+		})
+	summary.Flags().StringVar(&by, "by", "", "class, tenant, server or reason")
+	summary.Flags().StringVar(&every, "every", "", "one group for each such span (10s)")
+
+	add(&cobra.Command{Use: "explain FILE CALL", Short: "Tell what became of one call, and why", Args: cobra.ExactArgs(2)},
+		func(cmd *cobra.Command, args []string) error {
+			return traceExplain(cmd.OutOrStdout(), args[0], args[1], *asJSON)
+		})
+
+	why := add(&cobra.Command{Use: "why FILE --from T --to T", Short: "Rank what may have made service drop, against the time before", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			var s trace.Selection
+			if err := times(&s, from, to); err != nil {
+				return usage(err)
+			}
+			if s.From == 0 || s.To == 0 {
+				return usage(errors.New("why: --from and --to are wanted"))
+			}
+			return traceWhy(cmd.OutOrStdout(), args[0], s.From, s.To, *asJSON)
+		})
+	span(why)
+
+	report := add(&cobra.Command{Use: "report FILE -o OUT.html", Short: "Write a page with plots", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			return traceReport(args[0], out)
+		})
+	output(report)
+
+	var form string
+	export := add(&cobra.Command{Use: "export FILE --to jsonl|otlp-json", Short: "Write records as JSON lines, or calls as OpenTelemetry traces", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			return traceExport(cmd.OutOrStdout(), args[0], form)
+		})
+	export.Flags().StringVar(&form, "to", "", "jsonl or otlp-json")
+	export.MarkFlagRequired("to")
+	return root
+}
+
+// times reads the two ends of a selection.
+func times(s *trace.Selection, from, to string) error {
+	for text, at := range map[*string]*int64{&from: &s.From, &to: &s.To} {
+		if *text == "" {
+			continue
+		}
+		t, err := time.Parse(time.RFC3339Nano, *text)
+		if err != nil {
+			return fmt.Errorf("%q is no time such as 2026-12-01T14:00:00.5Z", *text)
+		}
+		*at = t.UnixMicro()
+	}
+	return s.Validate()
+}
+
+func micro(us int64) string { return time.UnixMicro(us).UTC().Format("2006-01-02T15:04:05.000Z") }
+
+// fileInfo is what info prints of a file.
+type fileInfo struct {
+	Path    string              `json:"path"`
+	Meta    trace.Meta          `json:"meta"`
+	Bytes   int64               `json:"bytes"`
+	Blocks  int                 `json:"blocks"`
+	Records int                 `json:"records"`
+	From    string              `json:"from,omitempty"`
+	To      string              `json:"to,omitempty"`
+	Names   map[string][]string `json:"names"`
+	Torn    string              `json:"torn,omitempty"`
+}
+
+func traceInfo(w io.Writer, files []string, asJSON bool) error {
+	var list []fileInfo
+	for _, path := range files {
+		t, err := traceio.Open(durable.OS{}, path)
+		if err != nil {
+			return err
+		}
+		i := fileInfo{Path: path, Meta: t.Meta, Bytes: t.Size(), Blocks: len(t.Index.Blocks), Names: map[string][]string{}, Torn: t.Torn}
+		var from, to int64
+		for n, b := range t.Index.Blocks {
+			i.Records += b.Count
+			if n == 0 || b.From < from {
+				from = b.From
+			}
+			to = max(to, b.To)
+		}
+		if i.Records > 0 {
+			i.From, i.To = micro(from), micro(to)
+		}
+		for _, d := range trace.Dimensions {
+			i.Names[d] = t.Index.Names(d)
+		}
+		t.Close()
+		list = append(list, i)
+	}
+	return put(w, asJSON, list, func(w io.Writer) {
+		for _, i := range list {
+			who := "router " + i.Meta.Router
+			if i.Meta.Router == "" {
+				who = fmt.Sprintf("merged of %d clocks", len(i.Meta.Clocks))
+			}
+			fmt.Fprintf(w, "%s: %s, part %d, %d records in %d blocks, %d bytes, %s to %s\n", i.Path, who, i.Meta.Part, i.Records, i.Blocks, i.Bytes, i.From, i.To)
+			for _, d := range trace.Dimensions {
+				names := i.Names[d]
+				if len(names) > 12 {
+					names = append(slices.Clone(names[:12]), fmt.Sprintf("and %d more", len(names)-12))
+				}
+				fmt.Fprintf(w, "  %s: %s\n", d, strings.Join(names, ", "))
+			}
+			for _, c := range i.Meta.Clocks {
+				fmt.Fprintln(w, " ", c)
+			}
+			if i.Torn != "" {
+				fmt.Fprintln(w, "  note: cut off by a crash:", i.Torn)
+			}
+		}
+	})
+}
+
+func traceVerify(w io.Writer, path string, asJSON bool) error {
+	t, records, err := traceio.Verify(durable.OS{}, path)
+	if err != nil {
+		if asJSON {
+			put(w, true, map[string]any{"good": false, "error": err.Error()}, nil)
+			return exit{exitFinding, nil}
+		}
+		return err
+	}
+	return put(w, asJSON, map[string]any{"good": true, "records": records, "blocks": len(t.Index.Blocks), "torn": t.Torn}, func(w io.Writer) {
+		fmt.Fprintf(w, "good: %d records in %d blocks\n", records, len(t.Index.Blocks))
+		if t.Torn != "" {
+			fmt.Fprintln(w, "note: cut off by a crash:", t.Torn)
+		}
+	})
+}
+
+func traceSummary(w io.Writer, path, by string, every time.Duration, asJSON bool) error {
+	t, err := traceio.Open(durable.OS{}, path)
+	if err != nil {
+		return err
+	}
+	defer t.Close()
+	s, err := trace.NewSummary(t.Meta, by, every.Microseconds())
+	if err != nil {
+		return usage(err)
+	}
+	if err := t.Each(trace.Selection{}, func(r *trace.Record) error { s.Take(r); return nil }); err != nil {
+		return err
+	}
+	groups := s.Groups()
+	return put(w, asJSON, groups, func(w io.Writer) {
+		tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintln(tab, "from\tname\toffered\tstood\tlate\trefused\tfailed\tleft\tcut\tattempts\ttimed out\trejected\tworth\tearned\tp50 ms\tp90\tp99\treasons\t")
+		for _, g := range groups {
+			at, reasons := "all", []string{}
+			if g.From > 0 {
+				at = micro(g.From)
+			}
+			for name, n := range g.Reasons {
+				reasons = append(reasons, fmt.Sprintf("%s %d", name, n))
+			}
+			slices.Sort(reasons)
+			fmt.Fprintf(tab, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%s\t\n", at, g.Name, g.Offered, g.Stood, g.Late, g.Refused,
+				g.Failed, g.Left, g.Cut, g.Attempts, g.Timeouts, g.Rejects, g.Worth, g.Earned, g.P50Ms, g.P90Ms, g.P99Ms, strings.Join(reasons, "; "))
+		}
+		tab.Flush()
+	})
+}
+
+func traceExplain(w io.Writer, path, call string, asJSON bool) error {
+	t, err := traceio.Open(durable.OS{}, path)
+	if err != nil {
+		return err
+	}
+	defer t.Close()
+	var list []trace.Record
+	if err := t.Each(trace.Selection{}, func(r *trace.Record) error {
+		if r.S[trace.Call] == call {
+			list = append(list, *r)
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	if len(list) == 0 {
+		return fmt.Errorf("%s: no call %s", path, call)
+	}
+	story := trace.Story(list)
+	return put(w, asJSON, story, func(w io.Writer) {
+		for _, line := range story {
+			fmt.Fprintln(w, line)
+		}
+	})
+}
+
+// inquire asks why service dropped in a time.
+func inquire(path string, from, to int64) (trace.Verdict, error) {
+	t, err := traceio.Open(durable.OS{}, path)
+	if err != nil {
+		return trace.Verdict{}, err
+	}
+	defer t.Close()
+	q := trace.NewInquiry(t.Meta, from, to)
+	err = t.Each(trace.Selection{From: q.Begin(), To: to}, func(r *trace.Record) error { q.Take(r); return nil })
+	return q.Verdict(), err
+}
+
+func traceWhy(w io.Writer, path string, from, to int64, asJSON bool) error {
+	v, err := inquire(path, from, to)
+	if err != nil {
+		return err
+	}
+	return put(w, asJSON, v, func(w io.Writer) {
+		fmt.Fprintf(w, "service %.2f, before %.2f; %d requests, before %d; worth lost %.1f\n", v.ServiceDuring, v.ServiceBefore, v.RequestsDuring, v.RequestsBefore, v.Lost)
+		if len(v.Causes) == 0 {
+			fmt.Fprintln(w, "nothing stands out")
+		}
+		for i, c := range v.Causes {
+			fmt.Fprintf(w, "%d. %s (%.2f), first sign %s\n", i+1, c.Text, c.Score, micro(c.First))
+		}
+		for _, c := range v.Changes[:min(8, len(v.Changes))] {
+			fmt.Fprintf(w, "   by %s %q: lost %.1f, before %.1f, %.0f%% of the loss\n", c.Dimension, c.Name, c.During, c.Before, 100*c.OfferedShare)
+		}
+	})
+}
+
+func traceReport(path, out string) error {
+	t, err := traceio.Open(durable.OS{}, path)
+	if err != nil {
+		return err
+	}
+	defer t.Close()
+	r, err := trace.NewPage(t.Meta, t.Index)
+	if err != nil {
+		return err
+	}
+	if err := t.Each(trace.Selection{}, func(rec *trace.Record) error { r.Take(rec); return nil }); err != nil {
+		return err
+	}
+	return durable.WriteFile(durable.OS{}, out, r.HTML)
+}
+
+func traceExport(w io.Writer, path, form string) error {
+	if form != "jsonl" && form != "otlp-json" {
+		return usage(fmt.Errorf("to: %q is neither jsonl nor otlp-json", form))
+	}
+	t, err := traceio.Open(durable.OS{}, path)
+	if err != nil {
+		return err
+	}
+	defer t.Close()
+	b := bufio.NewWriterSize(w, 64<<10)
+	spans := trace.NewSpans(b)
+	take := spans.Take
+	if form == "jsonl" {
+		take = func(r *trace.Record) error { return trace.JSON(b, r) }
+	}
+	if err := t.Each(trace.Selection{}, take); err != nil {
+		return err
+	}
+	return errors.Join(spans.Close(), b.Flush())
+}
--- a/internal/durable/frame.go
+++ b/internal/durable/frame.go
@@ -275,3 +275,38 @@
 	_, err := w.w.Write(w.buf)
 	return err
 }
+
+// Offset is where the next frame will stand.
+func (w *Writer) Offset() int64 { return w.end }
+
+// FrameSize is how many bytes a frame takes beside its payload.
+const FrameSize = frameSize
+
+// Size is the file's length as it was opened.
+func (r *Reader) Size() int64 { return r.size }
+
+// At reads the frame at an offset, wherever Next stands; the payload is the caller's if buf is nil, and else uses its room.
+func (r *Reader) At(offset int64, buf []byte) (kind uint16, payload []byte, err error) {
+	var head [frameSize]byte
+	if offset < headerSize || offset > r.size-frameSize {
+		return 0, nil, &Damage{r.name, offset, "no frame can stand there"}
+	}
+	if _, err := r.src.ReadAt(head[:], offset); err != nil {
+		return 0, nil, fmt.Errorf("%s: offset %d: %w", r.name, offset, err)
+	}
+	size := int64(binary.LittleEndian.Uint32(head[:]))
+	if headSum(r.number, offset, head[:12]) != binary.LittleEndian.Uint32(head[12:]) || size > PayloadMost || size > r.size-frameSize-offset {
+		return 0, nil, &Damage{r.name, offset, "a frame's head does not match its checksum"}
+	}
+	if int64(cap(buf)) < size {
+		buf = make([]byte, size)
+	}
+	payload = buf[:size]
+	if _, err := r.src.ReadAt(payload, offset+frameSize); err != nil {
+		return 0, nil, fmt.Errorf("%s: offset %d: %w", r.name, offset, err)
+	}
+	if crc32.Checksum(payload, table) != binary.LittleEndian.Uint32(head[8:]) {
+		return 0, nil, &Damage{r.name, offset, "a frame does not match its checksum"}
+	}
+	return binary.LittleEndian.Uint16(head[4:]), payload, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"threadglade.example/threadglade/internal/loop"
 	"threadglade.example/threadglade/internal/registry"
 	"threadglade.example/threadglade/internal/sip"
+	"threadglade.example/threadglade/internal/traceio"
 	"threadglade.example/threadglade/internal/wire"
 	"threadglade.example/threadglade/router"
 )
@@ -153,6 +154,7 @@
 	names  *registry.Client
 	listen *loop.Listener
 	ledger *ledgerio.Carrier // nil where it is off
+	trace  *traceio.Recorder // nil where it is off
 }
 
 // Logger writes one event a line with the time, the level and the router's name: as text for people or, with asJSON, as
@@ -181,7 +183,7 @@
 	}
 	n := &Node{Loop: l, clock: clock, log: log, config: c}
 	n.trunk = sip.NewTrunk(sip.TrunkConfig{Loop: l, Clock: clock, ConnectTimeout: c.ConnectTimeout, Free: c.Free,
-		Total: c.Total, Log: log})
+		Total: c.Total, Log: log, Loads: c.Product.Trace != nil})
 	rc := router.Config{Settings: c.Settings, Seed: c.Seed, Clock: clock, Trunk: n.trunk, Log: log,
 		Orphan: func(id string, how threadglade.Outcome) { n.front.Orphan(id, how) },
 		Stray:  n.trunk.ReleaseAnywhere}
@@ -190,6 +192,11 @@
 			return nil, err
 		}
 	}
+	if c.Product.Trace != nil {
+		if err := n.openTrace(&rc); err != nil {
+			return nil, err
+		}
+	}
 	if n.Router, err = router.New(rc); err != nil {
 		return nil, err
 	}
@@ -199,9 +206,17 @@
 	n.front = sip.NewFront(sip.FrontConfig{Router: n.Router, Clock: clock, Sockets: c.Sockets, Settings: c.Settings})
 	n.front.Start()
 	n.trunk.Start(n.Router)
+	if n.trace != nil {
+		n.trace.List(c.Cursor, len(c.Servers))
+	}
 	n.list(c.Servers, true)
 	if n.names, err = registry.Follow(l, c.Resolver, c.Cursor, clock, n.Router.At, log,
-		func(servers []sip.Server) { n.list(servers, false) }); err != nil {
+		func(serial uint32, servers []sip.Server) {
+			if n.trace != nil {
+				n.trace.List(serial, len(servers))
+			}
+			n.list(servers, false)
+		}); err != nil {
 		return nil, err
 	}
 	if n.listen, err = l.Listen(c.Listen, n.front.Accept); err != nil {
@@ -250,6 +265,9 @@
 	if n.ledger != nil {
 		err = errors.Join(err, n.ledger.Close())
 	}
+	if n.trace != nil {
+		err = errors.Join(err, n.trace.Close())
+	}
 	return err
 }
 
@@ -292,6 +310,9 @@
 			n.log.Warn().Str("event", "config_waits").Str("field", name).Msgf("configuration: %s has changed, which takes a restart", name)
 		}
 	}
+	if n.trace != nil {
+		n.trace.Reload()
+	}
 	// What cannot change now is compared with what is in force the next time, too.
 	n.config.Resolver, n.config.MemoryMB, n.config.Sockets = c.Resolver, c.MemoryMB, c.Sockets
 	n.log.Info().Str("event", "config_taken").Msgf("configuration read anew: name service %s, %d MB, %d sockets", c.Resolver, c.MemoryMB, c.Sockets)
@@ -331,6 +352,9 @@
 	if n.ledger != nil {
 		text += fmt.Sprintf(" ledger=%+v", n.ledger.Counters())
 	}
+	if n.trace != nil {
+		text += fmt.Sprintf(" trace=%+v", n.trace.Counters())
+	}
 	return text
 }
 
@@ -342,16 +366,22 @@
 	}
 }
 
-// Signals has SIGTERM and SIGINT end the node, SIGHUP read the configuration anew and SIGUSR1 print the counters.
+// Signals has SIGTERM and SIGINT end the node, SIGHUP read the configuration anew, SIGUSR1 print the counters and,
+// where there is a trace, SIGUSR2 write out what its memory holds.
 func (n *Node) Signals() {
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	if n.trace != nil {
+		signal.Notify(signals, syscall.SIGUSR2)
+	}
 	go func() {
 		ending := false
 		for s := range signals {
 			switch {
 			case s == syscall.SIGUSR1:
 				n.Loop.Post(func() { n.log.Info().Str("event", "counters").Msgf("counters %s", n.Counters()) })
+			case s == syscall.SIGUSR2:
+				n.Loop.Post(func() { n.trace.Dump("SIGUSR2") })
 			case s == syscall.SIGHUP:
 				n.reload()
 			case !ending:
--- a/internal/node/product.go
+++ b/internal/node/product.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -12,8 +13,10 @@
 	"threadglade.example/threadglade/internal/durable"
 	"threadglade.example/threadglade/internal/ledgerio"
 	"threadglade.example/threadglade/internal/settings"
+	"threadglade.example/threadglade/internal/traceio"
 	"threadglade.example/threadglade/ledger"
 	"threadglade.example/threadglade/router"
+	"threadglade.example/threadglade/trace"
 )
 
 // ledgerEvery is how often the ledger looks whether a period is over.
@@ -25,6 +28,7 @@
 	JSON        bool                // logs are JSON
 	CallControl *callcontrol.Config // nil: off
 	Ledger      *ledgerio.Options   // nil: off
+	Trace       *traceio.Options    // nil: off
 }
 
 // DefaultProduct is what holds without a settings file.
@@ -55,6 +59,10 @@
 		o := ledgerio.Read(sub, router)
 		p.Ledger = &o
 	}
+	if sub := s.Sub("trace"); sub != nil {
+		o := traceio.Read(sub)
+		p.Trace = &o
+	}
 	return p, s.Finish()
 }
 
@@ -89,21 +97,30 @@
 		tenants, networks := o.Tenants.Size()
 		fmt.Fprintf(w, ")\n  ; %d tenants, %d networks, precedence %s\n", tenants, networks, strings.Join(o.Tenants.Precedence(), ", "))
 	}
+	if o := p.Trace; o != nil {
+		fmt.Fprintf(w, "\n  (trace (block %q)", o.Block)
+		if o.Dir != "" {
+			fmt.Fprintf(w, " (directory %q) (file-mb %d) (file-span %q) (total-mb %d)", o.Dir, o.FileBytes>>20, o.FileSpan, o.Total>>20)
+		}
+		if o.Flight > 0 {
+			fmt.Fprintf(w, "\n    (flight %q) (flight-records %d) (flight-directory %q)", o.Flight, o.Records, o.FlightDir)
+		}
+		if o.Trigger > 0 {
+			fmt.Fprintf(w, " (trigger %d)", o.Trigger)
+		}
+		fmt.Fprint(w, ")")
+	}
 	fmt.Fprintln(w, ")")
 }
 
 // openLedger opens the ledger and puts it before the router and the loop.
 func (n *Node) openLedger(rc *router.Config) (err error) {
-	fs := n.config.FS
-	if fs == nil {
-		fs = durable.OS{}
-	}
-	n.ledger, err = ledgerio.Open(ledgerio.Config{Options: *n.config.Product.Ledger, FS: fs, Classes: ledger.Classes(n.config.Settings.Classes),
+	n.ledger, err = ledgerio.Open(ledgerio.Config{Options: *n.config.Product.Ledger, FS: n.files(), Classes: ledger.Classes(n.config.Settings.Classes),
 		Wall: func() int64 { return time.Now().UnixMilli() }, Clock: n.clock, Nudge: n.Loop.Nudge, Log: n.log})
 	if err != nil {
 		return err
 	}
-	rc.Observer = n.ledger
+	rc.Observer = observe(rc.Observer, n.ledger)
 	if n.config.Product.Ledger.Refuse {
 		rc.Admit = n.ledger.Admit
 	}
@@ -111,6 +128,49 @@
 	return nil
 }
 
+// openTrace has a recorder hear the router.
+func (n *Node) openTrace(rc *router.Config) (err error) {
+	c := traceio.Config{Options: *n.config.Product.Trace, FS: n.files(), Router: n.config.Name, Build: build(), Classes: trace.Classes(n.config.Settings.Classes),
+		Clock: n.clock, Log: n.log}
+	if n.config.Product.Ledger != nil {
+		c.Tenants = n.config.Product.Ledger.Tenants
+	}
+	if n.trace, err = traceio.Record(c); err == nil {
+		rc.Observer = observe(rc.Observer, n.trace)
+	}
+	return err
+}
+
+func (n *Node) files() durable.FS {
+	if n.config.FS == nil {
+		return durable.OS{}
+	}
+	return n.config.FS
+}
+
+// build names the program in files.
+func build() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return ""
+}
+
+// observe joins observers.
+func observe(one, other router.Observer) router.Observer {
+	if one == nil {
+		return other
+	}
+	return observers{one, other}
+}
+
+type observers [2]router.Observer
+
+func (o observers) Observe(e router.Event) {
+	o[0].Observe(e)
+	o[1].Observe(e)
+}
+
 // tickLedger has the ledger close what is due.
 func (n *Node) tickLedger() {
 	n.ledger.Tick()
@@ -138,6 +198,9 @@
 		waits("ledger")
 	case p.Ledger != nil:
 		n.ledger.SetTenants(p.Ledger.Tenants)
+		if n.trace != nil {
+			n.trace.SetTenants(p.Ledger.Tenants)
+		}
 		tenants, networks := p.Ledger.Tenants.Size()
 		n.log.Info().Str("event", "ledger_tenants").Msgf("ledger: %d tenants, %d networks", tenants, networks)
 		now, was := *p.Ledger, *old.Ledger
@@ -146,4 +209,7 @@
 			waits("ledger")
 		}
 	}
+	if (p.Trace == nil) != (old.Trace == nil) || p.Trace != nil && *p.Trace != *old.Trace {
+		waits("trace")
+	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -90,7 +90,7 @@
 	clock   router.Clock
 	at      func(time.Duration, func())
 	log     zerolog.Logger
-	changed func([]sip.Server)
+	changed func(uint32, []sip.Server)
 	socket  *loop.Packets
 	serial  uint32
 	id      uint16
@@ -102,9 +102,9 @@
 // Counters count queries and answers.
 type Counters struct{ Queries, Answers, Changes, Malformed, Old uint64 }
 
-// Follow asks for the list from now on; changed gets the whole list whenever its serial has grown past cursor.
+// Follow asks for the list from now on; changed gets the serial and the whole list whenever it has grown past cursor.
 func Follow(l *loop.Loop, resolver netip.AddrPort, cursor uint32, clock router.Clock,
-	at func(time.Duration, func()), log zerolog.Logger, changed func([]sip.Server)) (*Client, error) {
+	at func(time.Duration, func()), log zerolog.Logger, changed func(uint32, []sip.Server)) (*Client, error) {
 	c := &Client{loop: l, clock: clock, at: at, log: log, changed: changed, serial: cursor, id: uint16(clock() >> 10)}
 	if err := c.Move(resolver); err != nil {
 		return nil, err
@@ -139,7 +139,7 @@
 	if int32(serial-c.serial) > 0 {
 		c.serial = serial
 		c.count.Changes++
-		c.changed(servers)
+		c.changed(serial, servers)
 	}
 }
 
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -56,6 +56,7 @@
 	ConnectTimeout time.Duration // from the settings
 	Free, Total    string        // names of the figures in a server's state
 	Log            zerolog.Logger
+	Loads          bool // what servers report of their processors is passed on
 }
 
 // Trunk carries attempts to case servers. A server is its id: an address may come to belong to another one.
@@ -621,6 +622,7 @@
 	case m.status == 487: // to an attempt that we gave up
 	case m.status >= 300:
 		if ours && !leg.standing {
+			l.load(m)
 			how, cause := outcome(m.status, m.get("fail-word"))
 			t.end(leg, how, cause)
 		}
@@ -656,6 +658,7 @@
 // released takes the end of a call that stood, by whichever connection it comes.
 func (l *line) released(m *message) {
 	t := l.p.t
+	l.load(m)
 	how := threadglade.Cut
 	if causeIs16(m.get("reason")) {
 		how = threadglade.Concluded
@@ -677,9 +680,26 @@
 	return false
 }
 
+// load passes on what a message reports of its server's processor, where somebody wants to know.
+func (l *line) load(m *message) {
+	if !l.p.t.cfg.Loads {
+		return
+	}
+	report := m.get("link-state")
+	ms, told := field(report, "latency_ms")
+	rate, known := field(report, "qps")
+	if !known {
+		rate, known = field(report, "max_rate")
+	}
+	if (told || known) && ms >= 0 && ms < 1e6 && rate < 1e9 { // also no NaN
+		l.p.t.router.Load(l.p.server.ID, time.Duration(ms*float64(time.Millisecond)), rate)
+	}
+}
+
 // state takes a report of free agents.
 func (l *line) state(m *message) {
 	t := l.p.t
+	l.load(m)
 	report := m.get("link-state")
 	free, told := field(report, t.cfg.Free)
 	total, sized := field(report, t.cfg.Total)
--- a/reason.go
+++ b/reason.go
@@ -80,13 +80,22 @@
 	return Returned
 }
 
-// Obstacle is why a call waits that has neither an attempt out nor its answer; false if none is known to wait.
-func (c *Controller) Obstacle(id string) (Reason, bool) {
+// Obstacle is why a call waits that has neither an attempt out nor its answer, and the server of its first choice; false if it
+// is not known to wait.
+func (c *Controller) Obstacle(id string) (server string, why Reason, waits bool) {
 	k := c.calls[id]
 	if k == nil || k.out || k.closed || k.resume > 0 || k.class == nil {
-		return NoReason, false
+		return "", NoReason, false
 	}
-	return c.obstacle(k), true
+	return c.Choice(k.Destination), c.obstacle(k), true
+}
+
+// Choice is the running server of a number; empty if there is none.
+func (c *Controller) Choice(number int) string {
+	if s := c.numbered(number); s != nil {
+		return s.ID
+	}
+	return ""
 }
 
 // Phase is what a server's control does.
--- a/router/observer.go
+++ b/router/observer.go
@@ -20,8 +20,8 @@
 // Kind says what an Event tells.
 type Kind uint8
 
-// Kinds of events. Of one request come, in this order: Arrived; any number of Sent, each with one AttemptEnded unless it
-// is answered; one of Stood, Refused, Failed and Left; after Stood one Ended; last Over.
+// Kinds of events. Of one request come, in this order: Arrived; any number of Held, and of Sent, each with one AttemptEnded
+// unless it is answered; one of Stood, Refused, Failed and Left; after Stood one Ended; last Over.
 const (
 	Arrived       Kind = iota + 1 // a request was taken
 	Sent                          // an attempt is about to be written to Server
@@ -37,6 +37,9 @@
 	StrayRelease                  // a caller released a call that this router never knew
 	Listed                        // Server is listed in State
 	Reported                      // Server has Free of Total agents
+	Held                          // a request waits, for Reason; Server is its first choice
+	Withdrawn                     // the attempt at Server is given up, for Reason; AttemptEnded follows
+	Loaded                        // Server reports its wait and how much it can take
 )
 
 // Event is one thing that happened. Fields that Kind does not need are zero.
@@ -61,6 +64,15 @@
 	State      threadglade.ServerState
 	Free       int
 	Total      int
+
+	// Of Sent, Held, Refused, Failed and Withdrawn: why, and what the Controller knew of Server; for a request that was
+	// never sent, of its first choice.
+	Reason threadglade.Reason
+	View   threadglade.View
+
+	// Of Loaded.
+	Latency time.Duration // wait at the server's processor
+	Rate    float64       // set-ups a second that it can take from all senders
 }
 
 // tellObserver hands an event on; the caller has made sure that there is an observer.
@@ -76,6 +88,35 @@
 	}
 }
 
+// observeDecision tells what was decided of a request and why; server empty means its first choice.
+func (r *Router) observeDecision(kind Kind, c *call, server string, why threadglade.Reason, more Event) {
+	if r.cfg.Observer == nil {
+		return
+	}
+	if server == "" {
+		server = r.control.Choice(c.Destination)
+	}
+	more.Kind, more.Call, more.Server, more.Attempt, more.Reason = kind, c.ID, server, c.attempt.Index, why
+	more.View, _ = r.control.View(server)
+	r.tellObserver(more)
+}
+
+// observeWait tells whether a request waits after an event.
+func (r *Router) observeWait(event threadglade.Event) {
+	id := ""
+	switch e := event.(type) {
+	case threadglade.Arrival:
+		id = e.Call
+	case threadglade.Ended:
+		id = e.Call
+	}
+	if c := r.calls[id]; c != nil && !c.final && !c.out && !c.standing {
+		if server, why, waits := r.control.Obstacle(id); waits {
+			r.observeDecision(Held, c, server, why, Event{})
+		}
+	}
+}
+
 // observeEnd tells of the end of an attempt, answered or not.
 func (r *Router) observeEnd(kind Kind, c *call, how threadglade.Outcome, cause threadglade.Cause) {
 	if r.cfg.Observer != nil {
@@ -95,9 +136,3 @@
 		r.tellObserver(Event{Kind: kind, Call: id, Outcome: how})
 	}
 }
-
-func (r *Router) observeFailure(c *call, why Failure) {
-	if r.cfg.Observer != nil {
-		r.tellObserver(Event{Kind: Failed, Call: c.ID, Why: why})
-	}
-}
--- a/router/observer_test.go
+++ b/router/observer_test.go
@@ -14,7 +14,7 @@
 type watch struct{ heard []string }
 
 var kindNames = map[Kind]string{Arrived: "arrived", Sent: "sent", AttemptEnded: "attempt ended", Stood: "stood", Refused: "refused", Failed: "failed",
-	Left: "left", Ghost: "ghost", Ended: "ended", Over: "over", OrphanRelease: "orphan", StrayRelease: "stray", Listed: "listed", Reported: "reported"}
+	Left: "left", Ghost: "ghost", Ended: "ended", Over: "over", OrphanRelease: "orphan", StrayRelease: "stray", Listed: "listed", Reported: "reported", Held: "held", Withdrawn: "withdrawn"}
 
 func (w *watch) Observe(e Event) {
 	text := kindNames[e.Kind] + " " + e.Call
--- a/router/router.go
+++ b/router/router.go
@@ -306,7 +306,7 @@
 	}
 	r.count.Overdue++
 	r.cfg.Log.Error().Str("event", "request_overdue").Str("call", c.ID).Msgf("request %s: no answer by its deadline, failed here", c.ID)
-	r.observeFailure(c, DeadlinePast)
+	r.observeDecision(Failed, c, c.attempt.Server, threadglade.OutOfTime, Event{Why: DeadlinePast})
 	c.front.Failed(c.ID, DeadlinePast)
 	r.leave(c)
 }
@@ -336,6 +336,13 @@
 	})
 }
 
+// Load takes what a server reports of its processor. Only the observer hears of it.
+func (r *Router) Load(server string, latency time.Duration, rate float64) {
+	if r.cfg.Observer != nil {
+		r.do(nil, func([]byte) { r.tellObserver(Event{Kind: Loaded, Server: server, Latency: latency, Rate: rate}) })
+	}
+}
+
 func (r *Router) listed(id string, state threadglade.ServerState, now time.Duration) {
 	s := r.servers[id]
 	if s == nil {
@@ -396,7 +403,7 @@
 			if !c.final {
 				r.count.Ghosts++
 				r.observeEnd(Ghost, c, how, threadglade.CauseNone)
-				r.observeFailure(c, GivenUp)
+				r.observeDecision(Failed, c, c.attempt.Server, threadglade.Overtaken, Event{Why: GivenUp})
 				c.front.Failed(id, GivenUp)
 				r.leave(c)
 			}
@@ -481,13 +488,16 @@
 
 // tell hands the Controller one event and carries out what it answers.
 func (r *Router) tell(event threadglade.Event) {
+	if r.cfg.Observer != nil {
+		defer r.observeWait(event)
+	}
 	for _, a := range r.decide(event) {
 		switch a := a.(type) {
 		case threadglade.Send:
 			r.send(a)
 		case threadglade.Refuse:
 			if c := r.answer(a.Call); c != nil {
-				r.refused(c, a.RetryAfter)
+				r.refused(c, a.RetryAfter, a.Why)
 			}
 		case threadglade.Fail:
 			if c := r.answer(a.Call); c != nil {
@@ -496,13 +506,14 @@
 				if r.cfg.Clock()+r.cfg.Settings.Rules.ReleaseWait >= c.Deadline {
 					why = DeadlinePast
 				}
-				r.observeFailure(c, why)
+				r.observeDecision(Failed, c, c.attempt.Server, a.Why, Event{Why: why})
 				c.front.Failed(c.ID, why)
 				r.forget(c)
 			}
 		case threadglade.GiveUp:
 			r.do(nil, func([]byte) {
 				if c := r.calls[a.Call]; c != nil && c.out && c.attempt.Index == a.Attempt {
+					r.observeDecision(Withdrawn, c, c.attempt.Server, a.Why, Event{})
 					r.cfg.Trunk.GiveUp(c.attempt)
 					r.end(c, threadglade.Cancelled, threadglade.CauseNone, false)
 				}
@@ -548,14 +559,12 @@
 	if !r.cfg.Settings.Limits.RetryAfter {
 		retryAfter = 0
 	}
-	r.refused(c, min(retryAfter, r.cfg.Settings.Limits.MaxRetryAfter))
+	r.refused(c, min(retryAfter, r.cfg.Settings.Limits.MaxRetryAfter), threadglade.Unbillable)
 }
 
-func (r *Router) refused(c *call, retryAfter time.Duration) {
+func (r *Router) refused(c *call, retryAfter time.Duration, why threadglade.Reason) {
 	r.count.Refused++
-	if r.cfg.Observer != nil {
-		r.tellObserver(Event{Kind: Refused, Call: c.ID, RetryAfter: retryAfter})
-	}
+	r.observeDecision(Refused, c, c.attempt.Server, why, Event{RetryAfter: retryAfter})
 	c.front.Refused(c.ID, retryAfter)
 	r.forget(c)
 }
@@ -596,7 +605,7 @@
 		return
 	}
 	r.count.Attempts++
-	r.observe(Sent, c)
+	r.observeDecision(Sent, c, c.attempt.Server, a.Why, Event{})
 	index := c.attempt.Index
 	r.at(deadline, func() {
 		if c.out && c.attempt.Index == index {
