Test trace files at every cut and flipped bit, the recorder in a flood and on a full disk

Need: a trace is read after crashes, and recording must never cost calls.

Change: tests of cut-off files, flipped bits, cutting, anonymising, flood, full disk, rotation and flight recorder. Records of a file that failed are counted in a gap; a flipped bit behind the index is damage and no torn tail.

Measured: a file cut at every byte of its last two blocks reads up to its last whole block; a flood of ten times the queue loses no record that is not counted in a gap.

--- a/internal/traceio/file.go
+++ b/internal/traceio/file.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -80,10 +81,13 @@
 	}
 	b := w.enc.Encode(w.list)
 	b.Info.Reach = w.reach(w.list)
+	if err := w.Block(b); err != nil {
+		return err // what waits still does: whoever gives the file up counts it
+	}
 	w.Count += int64(len(w.list))
 	clear(w.list)
 	w.list = w.list[:0]
-	return w.Block(b)
+	return nil
 }
 
 // reach follows the calls of the next block.
@@ -238,6 +242,9 @@
 			return err
 		}
 		if kind == frameIndex { // whole, but its tail is not
+			if _, _, err := t.r.Next(); err != io.EOF && !errors.Is(err, durable.ErrTorn) {
+				return cmp.Or(err, t.r.Damaged(at, "what follows the index is not its end"))
+			}
 			t.Torn = fmt.Sprintf("%s: offset %d: the index's end is missing", t.r.Name(), at)
 			break
 		}
--- /dev/null
+++ b/internal/traceio/traceio_test.go
@@ -0,0 +1,492 @@
+package traceio
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"threadglade.example/threadglade"
+	"threadglade.example/threadglade/internal/durable"
+	"threadglade.example/threadglade/internal/durable/durabletest"
+	"threadglade.example/threadglade/internal/settings"
+	"threadglade.example/threadglade/router"
+	"threadglade.example/threadglade/trace"
+)
+
+const (
+	second = int64(1_000_000)
+	day    = 1_700_000_000 * second
+)
+
+// mixed is an id like those of callers, which do not compress.
+func mixed(n int) string { return fmt.Sprintf("%016x", 0x9e3779b97f4a7c15*uint64(n)) }
+
+// records are those of call n, which lasts 30 s; every call has five.
+func records(n int) (list []trace.Record) {
+	r := trace.Record{Kind: trace.Request, At: day + int64(n)*20_000}
+	r.S[trace.Call], r.S[trace.Class], r.S[trace.Tenant], r.S[trace.Number] = mixed(n+1), []string{"voice", "data"}[n%2], "lda", fmt.Sprintf("92%05d", n)
+	r.S[trace.Caller], r.S[trace.Identity] = fmt.Sprintf("10.4.%d.%d", n>>8&255, n&255), fmt.Sprintf("spiffe://b.example/desk/%d", n)
+	list = append(list, r)
+	r.S[trace.Identity], r.S[trace.Caller], r.S[trace.Number] = "", "", ""
+	r.Kind, r.S[trace.Server], r.N[trace.Act], r.N[trace.Reason] = trace.Decision, fmt.Sprintf("s%d", n%3), int64(trace.Sent), int64(threadglade.FirstChoice)
+	list = append(list, r)
+	r.Kind, r.At, r.N[trace.Act], r.N[trace.Reason], r.N[trace.Final] = trace.Answer, r.At+50_000, 0, 0, int64(trace.EndStood)
+	list = append(list, r)
+	r.Kind, r.At, r.N[trace.Final], r.N[trace.TookUs] = trace.Release, r.At+30*second, 0, 30*second
+	return append(list, r)
+}
+
+// write makes a file of calls, their records in the order of time.
+func write(t testing.TB, f durable.FS, path string, meta trace.Meta, calls int) (count int) {
+	require.NoError(t, durable.WriteFile(f, path, func(out io.Writer) error {
+		w, err := NewWriter(out, meta)
+		require.NoError(t, err)
+		var later []trace.Record
+		put := func(r trace.Record) {
+			require.NoError(t, w.Add(&r))
+			count++
+		}
+		for n := range calls {
+			list := records(n)
+			for len(later) > 0 && later[0].At <= list[0].At {
+				put(later[0])
+				later = later[1:]
+			}
+			for _, r := range list[:3] {
+				put(r)
+			}
+			later = append(later, list[3])
+		}
+		for _, r := range later {
+			put(r)
+		}
+		return w.Close()
+	}))
+	return count
+}
+
+func readAll(t testing.TB, f durable.FS, path string, s trace.Selection) (list []trace.Record) {
+	file, err := Open(f, path)
+	require.NoError(t, err)
+	defer file.Close()
+	require.NoError(t, file.Each(s, func(r *trace.Record) error { list = append(list, *r); return nil }))
+	return list
+}
+
+// TestCutOff has a crash cut a file off at every byte of its last two blocks and its index: whole blocks before it are read, the
+// rest is noted, and nothing is made up.
+func TestCutOff(t *testing.T) {
+	f := durabletest.New(1)
+	require.NoError(t, durable.WriteFile(f, "x.tgt", func(out io.Writer) error {
+		w, err := NewWriter(out, trace.Meta{Router: "n0"})
+		for n := range 12 {
+			for _, r := range records(n) {
+				require.NoError(t, w.Add(&r))
+			}
+			if n%3 == 2 {
+				require.NoError(t, w.Flush())
+			}
+		}
+		require.NoError(t, w.Close())
+		return err
+	}))
+	file, err := Open(f, "x.tgt")
+	require.NoError(t, err)
+	require.Empty(t, file.Torn)
+	blocks, text := file.Index.Blocks, f.Bytes("x.tgt")
+	require.Len(t, blocks, 4)
+	ends := make([]int, len(blocks))
+	for i, b := range blocks {
+		ends[i] = int(b.Columns) + durable.FrameSize + columnsSize(t, f, b)
+	}
+	for size := len(text) - 1; size > int(blocks[2].Offset); size-- {
+		g := durabletest.New(1)
+		require.NoError(t, durable.WriteFile(g, "y.tgt", func(w io.Writer) error { _, err := w.Write(text[:size]); return err }))
+		file, err := Open(g, "y.tgt")
+		require.NoError(t, err, "at %d", size)
+		require.NotEmpty(t, file.Torn)
+		count, want := 0, 0
+		for _, b := range file.Index.Blocks {
+			count += b.Count
+		}
+		for i, end := range ends {
+			if end <= size {
+				want += blocks[i].Count
+			}
+		}
+		require.Equal(t, want, count, "at %d", size)
+	}
+}
+
+func columnsSize(t testing.TB, f durable.FS, b trace.BlockInfo) int {
+	r, err := durable.Open(f, "x.tgt", kindTrace)
+	require.NoError(t, err)
+	defer r.Close()
+	_, payload, err := r.At(b.Columns, nil)
+	require.NoError(t, err)
+	return len(payload)
+}
+
+// TestFlip flips bits in every region: each is found and named with file and offset.
+func TestFlip(t *testing.T) {
+	f := durabletest.New(1)
+	write(t, f, "x.tgt", trace.Meta{Router: "n0"}, 1100)
+	for bit := 0; bit < 8*f.Size("x.tgt"); bit += 997 {
+		f.Flip("x.tgt", bit)
+		_, _, err := Verify(f, "x.tgt")
+		f.Flip("x.tgt", bit)
+		var damage *durable.Damage
+		require.True(t, errors.As(err, &damage) || errors.Is(err, durable.ErrNewer), "bit %d: %v", bit, err)
+	}
+	_, n, err := Verify(f, "x.tgt")
+	require.NoError(t, err)
+	require.EqualValues(t, 4400, n)
+}
+
+// TestCutTime cuts a file in two: the halves read back complete, few blocks are touched, and calls that cross the cut keep their
+// first record, marked.
+func TestCutTime(t *testing.T) {
+	f := durabletest.New(1)
+	write(t, f, "x.tgt", trace.Meta{Router: "n0"}, 20_000)
+	all := readAll(t, f, "x.tgt", trace.Selection{})
+	middle := day + 200*second
+	one, err := CutFile(f, "x.tgt", "a.tgt", trace.Selection{To: middle})
+	require.NoError(t, err)
+	two, err := CutFile(f, "x.tgt", "b.tgt", trace.Selection{From: middle})
+	require.NoError(t, err)
+	require.Zero(t, one.Carried)
+	require.InDelta(t, 30*50, two.Carried, 60, "the calls that stood at the cut")
+	require.EqualValues(t, len(all), one.Records+two.Records-two.Carried)
+	a, b := readAll(t, f, "a.tgt", trace.Selection{}), readAll(t, f, "b.tgt", trace.Selection{})
+	carried := b[:two.Carried]
+	for _, r := range carried {
+		require.True(t, r.Carried)
+		require.Equal(t, trace.Request, r.Kind)
+		require.Less(t, r.At, middle)
+	}
+	order := func(a, b trace.Record) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.S[trace.Call], b.S[trace.Call]), cmp.Compare(a.Kind, b.Kind))
+	}
+	halves := append(append([]trace.Record{}, a...), b[two.Carried:]...)
+	slices.SortFunc(halves, order)
+	slices.SortFunc(all, order)
+	require.True(t, slices.Equal(all, halves), "the halves are not the whole")
+	// Each call of the second half has its request.
+	began := map[string]bool{}
+	for _, r := range b {
+		if r.Kind == trace.Request {
+			began[r.S[trace.Call]] = true
+		}
+		require.True(t, began[r.S[trace.Call]], "%s has no first record", r.S[trace.Call])
+	}
+	ten, err := CutFile(f, "x.tgt", "c.tgt", trace.Selection{From: middle, To: middle + 10*second})
+	require.NoError(t, err)
+	require.Less(t, ten.Blocks, ten.Of/2)
+
+	// By class, server, outcome and call: whole calls.
+	for _, s := range []trace.Selection{{Class: "voice"}, {Server: "s1"}, {Outcome: "concluded", Class: "data"}, {Call: records(77)[0].S[trace.Call]}} {
+		_, err := CutFile(f, "x.tgt", "d.tgt", s)
+		require.NoError(t, err)
+		seen := map[string]int{}
+		for _, r := range readAll(t, f, "d.tgt", trace.Selection{}) {
+			seen[r.S[trace.Call]]++
+			require.True(t, s.Class == "" || r.S[trace.Class] == s.Class)
+		}
+		for call, n := range seen {
+			require.Equal(t, 4, n, call)
+		}
+		want := 20_000
+		switch {
+		case s.Call != "":
+			want = 1
+		case s.Server != "":
+			want = 6667
+		default:
+			want = 10_000
+		}
+		require.Equal(t, want, len(seen))
+	}
+	none, err := CutFile(f, "x.tgt", "e.tgt", trace.Selection{Class: "nobody"})
+	require.NoError(t, err)
+	require.Zero(t, none.Records)
+}
+
+// TestHide anonymises a file: no original value is found in its bytes or in what they unpack to, the same key gives the same bytes, and
+// the same caller stays the same.
+func TestHide(t *testing.T) {
+	f := durabletest.New(1)
+	n := write(t, f, "x.tgt", trace.Meta{Router: "n0"}, 250)
+	key := bytes.Repeat([]byte("k"), 32)
+	_, err := HideFile(f, "x.tgt", "h.tgt", key)
+	require.NoError(t, err)
+	_, err = HideFile(f, "x.tgt", "i.tgt", key)
+	require.NoError(t, err)
+	require.Equal(t, f.Bytes("h.tgt"), f.Bytes("i.tgt"))
+	var unpacked bytes.Buffer
+	unpacked.Write(f.Bytes("h.tgt"))
+	list := readAll(t, f, "h.tgt", trace.Selection{})
+	require.Len(t, list, n)
+	for i := range list {
+		require.NoError(t, trace.JSON(&unpacked, &list[i]))
+	}
+	text := unpacked.String()
+	for i := range 250 {
+		r := records(i)[0]
+		for _, s := range []trace.Text{trace.Call, trace.Number, trace.Caller, trace.Identity} {
+			if v := r.S[s]; strings.Contains(text, `"`+v+`"`) || len(v) > 8 && strings.Contains(text, v) {
+				require.Fail(t, "a value is left", "%s %s", s, v)
+			}
+		}
+	}
+	plain := readAll(t, f, "x.tgt", trace.Selection{})
+	hidden := map[string]string{}
+	for i := range plain {
+		was, is := plain[i].S[trace.Call], list[i].S[trace.Call]
+		require.True(t, hidden[was] == "" || hidden[was] == is)
+		hidden[was] = is
+		require.Equal(t, plain[i].N, list[i].N)
+		require.Equal(t, plain[i].S[trace.Server], list[i].S[trace.Server])
+	}
+	_, _, err = Verify(f, "h.tgt")
+	require.NoError(t, err)
+}
+
+type logs struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logs) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logs) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
+type rig struct {
+	f   *durabletest.FS
+	r   *Recorder
+	now time.Duration
+	log logs
+}
+
+func record(t *testing.T, change func(*Options)) *rig {
+	g := &rig{f: durabletest.New(1), now: time.Duration(day) * time.Microsecond}
+	o := Defaults()
+	o.Dir, o.Block = "trace", 100*time.Millisecond
+	change(&o)
+	var err error
+	g.r, err = Record(Config{Options: o, FS: g.f, Router: "n0", Clock: func() time.Duration { return g.now }, Log: zerolog.New(&g.log)})
+	require.NoError(t, err)
+	return g
+}
+
+// call is the life of one call as the router tells it: five records.
+func (g *rig) call(id string, end router.Kind) {
+	g.now += time.Millisecond
+	e := router.Event{At: g.now, Call: id}
+	tell := func(kind router.Kind, server string) {
+		e.Kind, e.Server = kind, server
+		g.r.Observe(e)
+	}
+	e.Class, e.Tenant, e.Number = "voice", "lda", id
+	tell(router.Arrived, "")
+	tell(router.Sent, "s0")
+	tell(end, "s0")
+	if end == router.Stood {
+		tell(router.Ended, "s0")
+	}
+	tell(router.Over, "")
+}
+
+func (g *rig) files(t *testing.T, dir string) (list []trace.Record, names []string) {
+	names, err := g.f.List(dir)
+	require.NoError(t, err)
+	for _, n := range names {
+		list = append(list, readAll(t, g.f, filepath.Join(dir, n), trace.Selection{})...)
+	}
+	return list, names
+}
+
+// TestFlood sends records ten times as fast as the writer takes them, which is stuck: nobody waits, what is dropped is counted, and the
+// gap is a record.
+func TestFlood(t *testing.T) {
+	g := record(t, func(*Options) {})
+	g.call("first", router.Stood)
+	require.True(t, durabletest.Wait(func() bool { return g.r.Counters().Written > 0 }))
+	again := g.f.Slow()
+	began := time.Now()
+	for i := range 10 * queueMost / 4 {
+		g.call(fmt.Sprintf("%016x", i), router.Stood)
+	}
+	require.Less(t, time.Since(began), 3*time.Second)
+	dropped := g.r.Counters().Dropped
+	require.Greater(t, int(dropped), 5*queueMost)
+	again()
+	require.True(t, durabletest.Wait(func() bool { return g.r.queue.TryEnqueue(trace.Record{Kind: trace.Reload, At: int64(g.now / 1000)}) }))
+	require.True(t, durabletest.Wait(func() bool { g.call("last", router.Stood); return g.r.gap == 0 }))
+	require.NoError(t, g.r.Close())
+	list, _ := g.files(t, "trace")
+	gaps, reloads := int64(0), 0
+	for _, r := range list {
+		gaps += r.N[trace.Count] * map[bool]int64{true: 1}[r.Kind == trace.Gap]
+		if r.Kind == trace.Reload {
+			reloads++
+		}
+	}
+	c := g.r.Counters()
+	require.EqualValues(t, c.Dropped, gaps, "each record that is missing is counted in a gap")
+	require.EqualValues(t, c.Records-c.Dropped, len(list)-reloads-countKind(list, trace.Gap))
+}
+
+func countKind(list []trace.Record, kind trace.Kind) (n int) {
+	for _, r := range list {
+		if r.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFull has the disk take nothing for a while: the recorder goes on, and says what is missing.
+func TestFull(t *testing.T) {
+	var mu sync.Mutex
+	full := false
+	g := record(t, func(*Options) {})
+	g.f.Plan = func(s durabletest.Step) durabletest.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if full && s.What != "remove" {
+			return durabletest.Tear
+		}
+		return durabletest.None
+	}
+	set := func(v bool) { mu.Lock(); full = v; mu.Unlock() }
+	g.call("a", router.Stood)
+	require.True(t, durabletest.Wait(func() bool { return g.r.Counters().Written >= 4 }))
+	set(true)
+	g.call("b", router.Stood)
+	require.True(t, durabletest.Wait(func() bool { return g.log.has("trace_failed") }))
+	set(false)
+	require.True(t, durabletest.Wait(func() bool {
+		g.call("c", router.Stood)
+		time.Sleep(10 * time.Millisecond)
+		return g.r.Counters().Written > 20
+	}))
+	require.NoError(t, g.r.Close())
+	list, names := g.files(t, "trace")
+	require.Greater(t, len(names), 1)
+	require.NotZero(t, countKind(list, trace.Gap))
+	require.NotZero(t, g.r.Counters().Dropped)
+}
+
+// TestRotation: files end by size, the oldest go when there are too many bytes, and the open one never.
+func TestRotation(t *testing.T) {
+	g := record(t, func(o *Options) { o.FileBytes, o.Total, o.Block = 2000, 9000, 100*time.Millisecond })
+	for i := range 20 {
+		for j := range 40 {
+			g.call(mixed(i*40+j+1), router.Stood)
+		}
+		want := g.r.Counters().Records - g.r.Counters().Dropped
+		require.True(t, durabletest.Wait(func() bool { return g.r.Counters().Written >= want }))
+	}
+	require.NoError(t, g.r.Close())
+	c := g.r.Counters()
+	require.NotZero(t, c.Removed)
+	names, _ := g.f.List("trace")
+	total := 0
+	for _, n := range names {
+		total += g.f.Size(filepath.Join("trace", n))
+		_, _, err := Verify(g.f, filepath.Join("trace", n))
+		require.NoError(t, err)
+	}
+	require.Less(t, total, 12_000)
+	list, _ := g.files(t, "trace")
+	require.Equal(t, mixed(800), list[len(list)-1].S[trace.Call], "the latest are there")
+}
+
+// TestFlight: without a file, the last moments are kept in memory and written out on demand, by too many losses, and when the backstop
+// stops a send.
+func TestFlight(t *testing.T) {
+	g := record(t, func(o *Options) {
+		o.Dir, o.Flight, o.FlightDir, o.Records, o.Trigger = "", 2*time.Second, "flight", 1000, 50
+	})
+	for i := range 500 {
+		g.call(fmt.Sprintf("%016x", i), router.Stood)
+	}
+	g.r.Dump("SIGUSR2")
+	require.True(t, durabletest.Wait(func() bool { return g.r.Counters().Flights == 1 }))
+	list, _ := g.files(t, "flight")
+	require.Len(t, list, 1000, "no more than the ring holds")
+	require.Equal(t, fmt.Sprintf("%016x", 499), list[999].S[trace.Call])
+	for i := range 60 {
+		g.call(fmt.Sprintf("%016x", 1000+i), router.Refused)
+	}
+	require.True(t, durabletest.Wait(func() bool { return g.r.Counters().Flights == 2 }))
+	require.True(t, g.log.has(`"why":"losses"`))
+	for i := range 60 {
+		g.call(fmt.Sprintf("%016x", 2000+i), router.Refused)
+	}
+	g.now += 2 * time.Minute
+	g.r.Observe(router.Event{Kind: router.Arrived, At: g.now, Call: "x", Class: "voice"})
+	g.r.Observe(router.Event{Kind: router.AttemptEnded, At: g.now, Call: "x", Outcome: threadglade.NotSent})
+	require.True(t, durabletest.Wait(func() bool { return g.log.has(`"why":"backstop"`) }))
+	require.NoError(t, g.r.Close())
+	require.EqualValues(t, 3, g.r.Counters().Flights, "not again within a minute")
+}
+
+// TestKnown: decisions carry what was known of their server.
+func TestKnown(t *testing.T) {
+	g := record(t, func(*Options) {})
+	at := func(ms int) time.Duration {
+		return time.Duration(day)*time.Microsecond + time.Duration(ms)*time.Millisecond
+	}
+	g.r.Observe(router.Event{Kind: router.Reported, At: at(0), Server: "s0", Free: 7, Total: 9})
+	g.r.Observe(router.Event{Kind: router.Loaded, At: at(10), Server: "s0", Latency: 240 * time.Millisecond, Rate: 9.5})
+	for i, ms := range []int{100, 150} {
+		id := fmt.Sprint(i)
+		g.r.Observe(router.Event{Kind: router.Arrived, At: at(ms), Call: id, Class: "voice"})
+		g.r.Observe(router.Event{Kind: router.Sent, At: at(ms), Call: id, Server: "s0", Reason: threadglade.Drawn, View: threadglade.View{Phase: threadglade.Climbing, Rate: 4.5, Lambda: 6, Out: i}})
+	}
+	require.NoError(t, g.r.Close())
+	list, _ := g.files(t, "trace")
+	last := list[len(list)-1]
+	require.Equal(t, trace.Decision, last.Kind)
+	for f, want := range map[trace.Figure]int64{trace.Free: 7, trace.FreeAgeMs: 150, trace.LatencyUs: 240_000, trace.QpsMilli: 9500, trace.LoadAgeMs: 140,
+		trace.RateMilli: 4500, trace.LambdaMilli: 6000, trace.OldestMs: 50, trace.Out: 1, trace.Reason: int64(threadglade.Drawn)} {
+		require.Equal(t, want, last.N[f], f.String())
+	}
+	require.Equal(t, 1, countKind(list, trace.Turn))
+}
+
+func TestSettings(t *testing.T) {
+	for text, want := range map[string]string{
+		"(trace)":                                        "directory or flight is wanted",
+		"(trace (flight 10s))":                           "flight-directory: is missing",
+		"(trace (directory d) (total-mb 64))":            "total-mb: is less than two files",
+		"(trace (directory d) (block 1ms))":              "block",
+		"(trace (directory d) (colour red))":             `unknown field "colour"`,
+		"(trace (directory d) (flight 10s) (trigger x))": "trigger",
+	} {
+		s, err := settings.Parse("f", "(threadglade "+text+")")
+		require.NoError(t, err)
+		Read(s.Sub("trace"))
+		require.ErrorContains(t, s.Finish(), want, text)
+	}
+}
