--- a/cmd/threadglade/bench_test.go
+++ b/cmd/threadglade/bench_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -16,14 +18,17 @@
 
 	"threadglade.example/threadglade/internal/ledgerio"
 	"threadglade.example/threadglade/internal/standin"
+	"threadglade.example/threadglade/internal/traceio"
 	"threadglade.example/threadglade/ledger"
+	"threadglade.example/threadglade/trace"
 )
 
 // These take too long for CI. docs/design/ledger.md quotes what they print:
 //
 //	go test ./cmd/threadglade -run '^$' -bench Serve -benchtime 1x -timeout 20m
 //
-// OTHER names another build of the program, to be measured beside this one with the ledger off.
+// OTHER names another build of the program, to be measured beside this one with everything off; MODES is which of off, ledger, trace
+// and other are measured.
 
 // outcome is what one measured life of a router comes to.
 type outcome struct {
@@ -34,12 +39,15 @@
 }
 
 // measure has a router carry as many calls as it can for a while.
-func measure(b *testing.B, program string, books bool, rate float64, span time.Duration) outcome {
+func measure(b *testing.B, program, mode string, rate float64, span time.Duration) outcome {
 	s := newStage(b, 3, standin.ServerConfig{Seed: 1, Hold: [2]time.Duration{time.Millisecond, 3 * time.Millisecond}, Agents: 1 << 19})
 	listen, args := port(b), []string{"serve"}
 	dir := filepath.Join(s.dir, "ledger")
-	if books {
+	switch mode {
+	case "ledger":
 		args = append(args, "--settings", s.file("settings", fmt.Sprintf(`(threadglade (ledger (directory %q) (period 1m) (tenant "lda" (numbers "92"))))`, dir)))
+	case "trace":
+		args = append(args, "--settings", s.file("settings", fmt.Sprintf(`(threadglade (trace (directory %q)))`, dir)))
 	}
 	c := startProgram(b, program, s.config("n0", listen), args...)
 	c.await(b)
@@ -59,10 +67,29 @@
 		slices.Sort(n.Latency)
 		o.p50, o.p99 = n.Latency[len(n.Latency)/2], n.Latency[len(n.Latency)*99/100]
 	}
-	if books {
+	switch mode {
+	case "ledger":
 		v, err := ledgerio.Inspect(fileSystem, dir)
 		require.NoError(b, err)
 		o.bytes = float64(v.Bytes) / float64(n.Stood)
+	case "trace":
+		files, err := filepath.Glob(filepath.Join(dir, "*"+traceio.Extension))
+		require.NoError(b, err)
+		requests, size := 0, int64(0)
+		for _, path := range files {
+			f, err := traceio.Open(fileSystem, path)
+			require.NoError(b, err)
+			require.NoError(b, f.Each(trace.Selection{}, func(r *trace.Record) error {
+				if r.Kind == trace.Request {
+					requests++
+				}
+				return nil
+			}))
+			size += f.Size()
+			f.Close()
+		}
+		require.Equal(b, n.Offered, requests, "the trace is complete")
+		o.bytes = float64(size) / float64(requests)
 	}
 	return o
 }
@@ -72,7 +99,7 @@
 	return list[len(list)/2]
 }
 
-// BenchmarkServe carries calls through real sockets with the ledger on and off in turn, and prints the ratios of the medians.
+// BenchmarkServe carries calls through real sockets with everything off and with one thing on in turn, and prints the ratios of the medians.
 func BenchmarkServe(b *testing.B) {
 	for _, rate := range []float64{0, 2000} {
 		name := "as many as go"
@@ -81,22 +108,19 @@
 		}
 		b.Run(name, func(b *testing.B) {
 			const pairs = 5
-			var calls, cpu, p50, p99 [3][]float64
-			words := []string{"off", "on", "other"}
-			if os.Getenv("OTHER") == "" {
-				words = words[:2]
-			}
-			bytes := 0.0
+			words := strings.Fields(cmp.Or(os.Getenv("MODES"), "off ledger trace"))
+			calls, cpu, p50, p99 := make([][]float64, len(words)), make([][]float64, len(words)), make([][]float64, len(words)), make([][]float64, len(words))
+			bytes := make([]float64, len(words))
 			for range pairs {
 				for on, word := range words {
 					program := os.Args[0]
 					if word == "other" {
 						program = os.Getenv("OTHER")
 					}
-					o := measure(b, program, word == "on", rate, 4*time.Second)
+					o := measure(b, program, word, rate, 4*time.Second)
 					calls[on], cpu[on] = append(calls[on], o.calls), append(cpu[on], o.cpu)
 					p50[on], p99[on] = append(p50[on], float64(o.p50.Microseconds())), append(p99[on], float64(o.p99.Microseconds()))
-					bytes = max(bytes, o.bytes)
+					bytes[on] = o.bytes
 				}
 			}
 			for on, word := range words {
@@ -107,8 +131,12 @@
 					b.ReportMetric(median(p99[on]), "us-p99-"+word)
 				}
 			}
-			b.ReportMetric(median(calls[1])/median(calls[0]), "ratio")
-			b.ReportMetric(bytes, "bytes/call")
+			for on, word := range words[1:] {
+				b.ReportMetric(median(calls[on+1])/median(calls[0]), "ratio-"+word)
+				if bytes[on+1] > 0 {
+					b.ReportMetric(bytes[on+1], "bytes/call-"+word)
+				}
+			}
 		})
 	}
 }
