Record 2,000,000 calls at eight routers and measure the tools on an hour of traces

Change: benchmarks that make eight routers' traces of an hour and time merge, cut, verify and why as processes of their own, and that record a real load of eight routers; the stand-in server takes a call anew whose answer had crossed a CANCEL; the recorder's tests share a clock without a race.

--- a/cmd/threadglade/bench_test.go
+++ b/cmd/threadglade/bench_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -16,6 +17,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"threadglade.example/threadglade"
+	"threadglade.example/threadglade/internal/durable"
 	"threadglade.example/threadglade/internal/ledgerio"
 	"threadglade.example/threadglade/internal/standin"
 	"threadglade.example/threadglade/internal/traceio"
@@ -171,3 +174,154 @@
 		b.ReportMetric(float64(cmd.ProcessState.SysUsage().(*syscall.Rusage).Maxrss)/1024, "MB")
 	}
 }
+
+// BenchmarkTraceFiles makes the traces of an hour at eight routers, 2,000,000 calls in all, whose clocks are up to 90 s apart, and
+// times the commands on them: each is a process of its own, whose memory is printed, too.
+func BenchmarkTraceFiles(b *testing.B) {
+	const routers, calls, hour = 8, 250_000, int64(3600_000_000)
+	dir := b.TempDir()
+	random := rand.New(rand.NewPCG(3, 4))
+	base := time.Date(2026, 12, 1, 14, 0, 0, 0, time.UTC).UnixMicro()
+	var files []string
+	var size int64
+	for n := range routers {
+		name := fmt.Sprintf("n%d", n)
+		path := filepath.Join(dir, name+traceio.Extension)
+		files = append(files, path)
+		meta := trace.Meta{Router: name, Life: 1, Part: 1, Classes: []trace.ClassMeta{{Name: "voice", AimMs: 1200, Worth: 1, Late: 0.2}}}
+		require.NoError(b, durable.WriteFile(fileSystem, path, func(out io.Writer) error {
+			w, err := traceio.NewWriter(out, meta)
+			require.NoError(b, err)
+			var later []trace.Record
+			list := int64(0)
+			for i := range calls {
+				at := base + int64(n)*12_857_000 + int64(i)*hour/calls // as its own clock has it
+				for len(later) > 0 && later[0].At <= at {
+					require.NoError(b, w.Add(&later[0]))
+					later = later[1:]
+				}
+				if serial := int64(i) * 240 / calls; serial > list || i == 0 { // a list every 15 s
+					list = serial
+					r := trace.Record{Kind: trace.List, At: at + int64(random.IntN(150_000))}
+					r.N[trace.Serial] = serial + 1
+					require.NoError(b, w.Add(&r))
+				}
+				r := trace.Record{Kind: trace.Request, At: at}
+				r.S[trace.Call], r.S[trace.Class], r.S[trace.Tenant], r.S[trace.Front] = fmt.Sprintf("%016x", random.Uint64()), "voice", "lda", "sip"
+				number := fmt.Sprintf("%016x", random.Uint64())
+				r.S[trace.Number], r.S[trace.Caller], r.N[trace.DeadlineMs], r.N[trace.Destination] = number, "10.4.7.9", 3000, int64(i%3)
+				require.NoError(b, w.Add(&r))
+				r.S[trace.Server], r.Kind, r.N[trace.Act], r.N[trace.Reason] = fmt.Sprintf("s%d", i%3), trace.Decision, int64(trace.Sent), int64(threadglade.FirstChoice)
+				r.N[trace.LambdaMilli], r.N[trace.RateMilli], r.N[trace.FreeAgeMs], r.N[trace.Free] = 16_000+int64(random.IntN(2000)), -1, int64(random.IntN(600)), int64(400+random.IntN(50))
+				require.NoError(b, w.Add(&r))
+				r.Kind, r.At, r.N[trace.TookUs], r.N[trace.Final] = trace.Answer, at+20_000+int64(random.IntN(60_000)), int64(20_000+random.IntN(60_000)), int64(trace.EndStood)
+				require.NoError(b, w.Add(&r))
+				r.Kind, r.At, r.N[trace.TookUs] = trace.Release, r.At+9_000_000, 9_000_000+int64(random.IntN(1000))
+				later = append(later, r)
+			}
+			for i := range later {
+				require.NoError(b, w.Add(&later[i]))
+			}
+			require.NoError(b, w.Close())
+			size += w.Offset()
+			return nil
+		}))
+	}
+	all := filepath.Join(dir, "all"+traceio.Extension)
+	do := func(what string, args ...string) {
+		cmd := exec.Command(os.Args[0], append([]string{"trace"}, args...)...)
+		cmd.Env = append(os.Environ(), "CHILD=1")
+		began := time.Now()
+		text, err := cmd.CombinedOutput()
+		require.NoError(b, err, string(text))
+		b.ReportMetric(time.Since(began).Seconds(), "s-"+what)
+		b.ReportMetric(float64(cmd.ProcessState.SysUsage().(*syscall.Rusage).Maxrss)/1024, "MB-"+what)
+	}
+	for b.Loop() {
+		b.ReportMetric(float64(size)/routers/calls, "bytes/call")
+		do("merge", append([]string{"merge", "-o", all}, files...)...)
+		do("verify", "verify", all)
+		do("cut", "cut", all, "--from", "2026-12-01T14:30:00Z", "--to", "2026-12-01T14:30:10Z", "-o", filepath.Join(dir, "cut.tgt"))
+		do("cut-one", "cut", files[0], "--from", "2026-12-01T14:30:00Z", "--to", "2026-12-01T14:30:10Z", "-o", filepath.Join(dir, "cut.tgt"))
+		do("why", "why", all, "--from", "2026-12-01T14:30:00Z", "--to", "2026-12-01T14:31:00Z")
+		do("info", "info", all)
+	}
+}
+
+// BenchmarkTraceLoad has eight routers record an hour's load of this site, compressed in time: about 2,000,000 calls on sockets. The traces
+// are merged and compared with what callers and case servers counted. SPAN is how long it takes.
+func BenchmarkTraceLoad(b *testing.B) {
+	span, err := time.ParseDuration(cmp.Or(os.Getenv("SPAN"), "160s"))
+	require.NoError(b, err)
+	const routers, rate = 8, 1570.0
+	for b.Loop() {
+		s := newStage(b, 3, standin.ServerConfig{Seed: 1, Hold: [2]time.Duration{20 * time.Millisecond, 60 * time.Millisecond}, Agents: 1 << 19})
+		ctx, cancel := context.WithTimeout(b.Context(), span)
+		var loads []*standin.Load
+		var children []*child
+		for i := range routers {
+			name, listen := fmt.Sprintf("n%d", i), port(b)
+			c := start(b, s.config(name, listen), "serve", "--settings", s.file(name+".sexp", fmt.Sprintf(`(threadglade (trace (directory %q)))`, filepath.Join(s.dir, name))))
+			c.await(b)
+			children = append(children, c)
+			loads = append(loads, standin.StartLoad(ctx, standin.LoadConfig{Target: func() string { return listen }, Connections: 8, Rate: rate, Seed: uint64(i + 1),
+				Classes: []string{"voice", "data"}, Numbers: []string{"92", "94"}, Repeats: 0.1}))
+		}
+		offered := 0
+		for _, l := range loads {
+			n := l.Wait()
+			require.Zero(b, n.Lost+n.Odd)
+			offered += n.Offered
+		}
+		cancel()
+		s.quiet()
+		received := 0
+		for _, one := range s.servers {
+			received += one.Counts().Received
+		}
+		for _, c := range children {
+			c.end(b)
+		}
+		files, err := filepath.Glob(filepath.Join(s.dir, "n*", "*"+traceio.Extension))
+		require.NoError(b, err)
+		all, size := filepath.Join(s.dir, "all.tgt"), int64(0)
+		for _, path := range files {
+			info, err := os.Stat(path)
+			require.NoError(b, err)
+			size += info.Size()
+		}
+		text, code := tool(b, append([]string{"trace", "merge", "-o", all}, files...)...)
+		require.Zero(b, code, text)
+		requests, sent, answers, unsure, gaps := 0, 0, 0, 0, int64(0)
+		f, err := traceio.Open(fileSystem, all)
+		require.NoError(b, err)
+		require.NoError(b, f.Each(trace.Selection{}, func(r *trace.Record) error {
+			switch {
+			case r.Kind == trace.Request:
+				requests++
+			case r.Kind == trace.Answer:
+				answers++
+			case r.Kind == trace.Decision && trace.Action(r.N[trace.Act]) == trace.Sent:
+				sent++
+			case r.Kind == trace.AttemptEnd:
+				switch threadglade.Outcome(r.N[trace.Outcome]) {
+				case threadglade.Unreachable, threadglade.NotSent, threadglade.Cut, threadglade.Cancelled, threadglade.TimedOut:
+					unsure++ // a server need not have got it whole
+				}
+			case r.Kind == trace.Gap:
+				gaps += r.N[trace.Count]
+			}
+			return nil
+		}))
+		f.Close()
+		b.ReportMetric(float64(offered), "calls")
+		b.ReportMetric(float64(size)/float64(offered), "bytes/call")
+		b.ReportMetric(float64(gaps), "dropped")
+		require.Zero(b, gaps)
+		require.Equal(b, []int{offered, offered}, []int{requests, answers})
+		b.ReportMetric(float64(sent-received), "set-ups-not-seen")
+		b.ReportMetric(float64(unsure), "set-ups-without-answer")
+		require.GreaterOrEqual(b, sent, received)
+		require.LessOrEqual(b, sent-unsure, received)
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -212,6 +212,9 @@
 			c = &seen{}
 			s.calls[id] = c
 		}
+		if c.Answered && c.Released && c.ByCaller { // its answer had crossed a CANCEL, and the router has ended it
+			c.Answered, c.Released, c.ByCaller, c.timer = false, false, false, nil
+		}
 		if c.Answered || c.timer != nil && !c.GivenUp {
 			s.count.Odd++
 			return
--- a/internal/traceio/recorder.go
+++ b/internal/traceio/recorder.go
@@ -23,8 +23,8 @@
 
 const (
 	// queueMost records may wait for the writer, which looks every lookEvery.
-	queueMost = 16_384
-	lookEvery = 20 * time.Millisecond
+	queueMost = 8192
+	lookEvery = 10 * time.Millisecond
 	// followMost calls are followed at once, and unansweredMost set-ups of one server.
 	followMost     = 200_000
 	unansweredMost = 4096
--- a/internal/traceio/traceio_test.go
+++ b/internal/traceio/traceio_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -282,25 +283,30 @@
 type rig struct {
 	f   *durabletest.FS
 	r   *Recorder
-	now time.Duration
+	now atomic.Int64
 	log logs
 }
 
-func record(t *testing.T, change func(*Options)) *rig {
-	g := &rig{f: durabletest.New(1), now: time.Duration(day) * time.Microsecond}
+func (g *rig) clock() time.Duration { return time.Duration(g.now.Load()) }
+
+func record(t *testing.T, change func(*Options), plan ...func(durabletest.Step) durabletest.Fault) *rig {
+	g := &rig{f: durabletest.New(1)}
+	g.now.Store(day * 1000)
+	for _, p := range plan {
+		g.f.Plan = p
+	}
 	o := Defaults()
 	o.Dir, o.Block = "trace", 100*time.Millisecond
 	change(&o)
 	var err error
-	g.r, err = Record(Config{Options: o, FS: g.f, Router: "n0", Clock: func() time.Duration { return g.now }, Log: zerolog.New(&g.log)})
+	g.r, err = Record(Config{Options: o, FS: g.f, Router: "n0", Clock: g.clock, Log: zerolog.New(&g.log)})
 	require.NoError(t, err)
 	return g
 }
 
 // call is the life of one call as the router tells it: five records.
 func (g *rig) call(id string, end router.Kind) {
-	g.now += time.Millisecond
-	e := router.Event{At: g.now, Call: id}
+	e := router.Event{At: time.Duration(g.now.Add(int64(time.Millisecond))), Call: id}
 	tell := func(kind router.Kind, server string) {
 		e.Kind, e.Server = kind, server
 		g.r.Observe(e)
@@ -339,7 +345,7 @@
 	dropped := g.r.Counters().Dropped
 	require.Greater(t, int(dropped), 5*queueMost)
 	again()
-	require.True(t, durabletest.Wait(func() bool { return g.r.queue.TryEnqueue(trace.Record{Kind: trace.Reload, At: int64(g.now / 1000)}) }))
+	require.True(t, durabletest.Wait(func() bool { return g.r.queue.TryEnqueue(trace.Record{Kind: trace.Reload, At: g.now.Load() / 1000}) }))
 	require.True(t, durabletest.Wait(func() bool { g.call("last", router.Stood); return g.r.gap == 0 }))
 	require.NoError(t, g.r.Close())
 	list, _ := g.files(t, "trace")
@@ -368,15 +374,14 @@
 func TestFull(t *testing.T) {
 	var mu sync.Mutex
 	full := false
-	g := record(t, func(*Options) {})
-	g.f.Plan = func(s durabletest.Step) durabletest.Fault {
+	g := record(t, func(*Options) {}, func(s durabletest.Step) durabletest.Fault {
 		mu.Lock()
 		defer mu.Unlock()
 		if full && s.What != "remove" {
 			return durabletest.Tear
 		}
 		return durabletest.None
-	}
+	})
 	set := func(v bool) { mu.Lock(); full = v; mu.Unlock() }
 	g.call("a", router.Stood)
 	require.True(t, durabletest.Wait(func() bool { return g.r.Counters().Written >= 4 }))
@@ -443,9 +448,9 @@
 	for i := range 60 {
 		g.call(fmt.Sprintf("%016x", 2000+i), router.Refused)
 	}
-	g.now += 2 * time.Minute
-	g.r.Observe(router.Event{Kind: router.Arrived, At: g.now, Call: "x", Class: "voice"})
-	g.r.Observe(router.Event{Kind: router.AttemptEnded, At: g.now, Call: "x", Outcome: threadglade.NotSent})
+	g.now.Add(int64(2 * time.Minute))
+	g.r.Observe(router.Event{Kind: router.Arrived, At: g.clock(), Call: "x", Class: "voice"})
+	g.r.Observe(router.Event{Kind: router.AttemptEnded, At: g.clock(), Call: "x", Outcome: threadglade.NotSent})
 	require.True(t, durabletest.Wait(func() bool { return g.log.has(`"why":"backstop"`) }))
 	require.NoError(t, g.r.Close())
 	require.EqualValues(t, 3, g.r.Counters().Flights, "not again within a minute")
--- a/trace/block.go
+++ b/trace/block.go
@@ -88,13 +88,15 @@
 		for _, t := range layout[kind].texts {
 			e.col = e.col[:0]
 			index, last := e.index[t], int64(0)
+			before, at, known := "", uint64(0), false // most columns repeat themselves
 			for _, i := range rows {
-				text := list[i].S[t]
-				at, known := index[text]
-				if !known {
-					at = uint64(len(e.list[t]))
-					index[text] = at
-					e.list[t] = append(e.list[t], text)
+				if text := list[i].S[t]; !known || text != before {
+					if at, known = index[text]; !known {
+						at = uint64(len(e.list[t]))
+						index[text] = at
+						e.list[t] = append(e.list[t], text)
+					}
+					before, known = text, true
 				}
 				e.col = binary.AppendVarint(e.col, int64(at)-last)
 				last = int64(at)
