Begin a ledger's first segment as the router starts

Need: README's commands, tried right after a start without calls, said that the folder is no ledger.

Change: the writer makes sure of a segment before the first entry; a disk that fails then is logged and tried again with the first entry.

--- a/internal/durable/log.go
+++ b/internal/durable/log.go
@@ -189,13 +189,16 @@
 // Segment is the number of the present segment.
 func (l *Log) Segment() uint64 { return l.last.Number }
 
-// Append writes frames in one write. After an error nothing of them counts, and the next Append begins a new segment.
+// Append writes frames in one write; without any, it only makes sure that there is a segment. After an error nothing of them counts, and the next Append begins a new segment.
 func (l *Log) Append(list ...Frame) error {
 	if !l.open || l.end >= l.cfg.Roll {
 		if err := l.roll(); err != nil {
 			return err
 		}
 	}
+	if len(list) == 0 {
+		return nil
+	}
 	before := l.frames
 	l.buf = l.buf[:0]
 	for _, f := range list {
--- a/internal/ledgerio/carrier.go
+++ b/internal/ledgerio/carrier.go
@@ -307,6 +307,10 @@
 // write is the writer's goroutine: it takes all turns that wait and writes them in one go.
 func (c *Carrier) write() {
 	defer c.done.Done()
+	if err := c.log.Append(); err != nil { // a ledger is there from the start; if not, the first entry tries again
+		c.errs.Add(1)
+		c.complain("ledger_write", err)
+	}
 	var pending []batch
 	var list []durable.Frame
 	retry := time.NewTimer(time.Hour)
