Keep room for configured tenants' names, and show that a hanging disk delays no answer

Cause: a second reading found that names of servers, which are replaced for ever, and tenants that set-ups state could use up the room for names, after which configured tenants would have been counted as others; that the recorder kept what it knew of servers that are gone; that no test had a write hang in the system with one core, a test called newer tested something else, and claims and later versions were not tried through the command.

Measured: with every write hanging for 3 s, all answers at 200 set-ups/s came within 1 s and the ledger verifies after a kill.

--- a/cmd/threadglade/child_test.go
+++ b/cmd/threadglade/child_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"threadglade.example/threadglade/internal/durable"
 	"threadglade.example/threadglade/internal/standin"
@@ -36,7 +37,8 @@
 	os.Exit(run(os.Args[1:]))
 }
 
-// killer kills the process at a step: "write" in the middle of one, anything else before it.
+// killer kills the process at a step: "write" in the middle of one, anything else before it. "slow" has that write, and all after
+// it, take 3 s instead.
 type killer struct {
 	durable.FS
 	mu         sync.Mutex
@@ -95,6 +97,9 @@
 }
 
 func (f killerFile) Write(b []byte) (int, error) {
+	if f.k.step("slow", f.path) {
+		unix.Nanosleep(&unix.Timespec{Sec: 3}, nil) // as a disk does: the thread hangs in the system
+	}
 	if f.k.step("write", f.path) {
 		f.File.Write(b[:len(b)/2])
 		die()
--- a/cmd/threadglade/ledger.go
+++ b/cmd/threadglade/ledger.go
@@ -169,8 +169,14 @@
 	return put(w, asJSON, r, func(w io.Writer) {
 		fmt.Fprintf(w, "good: the ledger of %s by %v, %d segments, %d bytes, %d entries\n", r.Router, time.Duration(r.PeriodMs)*time.Millisecond,
 			r.Segments, r.Bytes, r.Entries)
-		fmt.Fprintf(w, "%d calls open, %d statements up to %s, %d exported up to %s, %d corrections\n", r.Open, r.Statements, r.ClosedTo,
-			r.Exported, r.ExportedTo, r.Corrected)
+		upTo := func(n uint64, at string) string {
+			if at == "" {
+				return "nothing"
+			}
+			return fmt.Sprintf("%d up to %s", n, at)
+		}
+		fmt.Fprintf(w, "%d calls open; closed: %s; exported: %s; %d corrections\n", r.Open, upTo(r.Statements, r.ClosedTo),
+			upTo(r.Exported, r.ExportedTo), r.Corrected)
 		for _, n := range r.Notes {
 			fmt.Fprintln(w, "note:", n)
 		}
--- a/cmd/threadglade/ledger_test.go
+++ b/cmd/threadglade/ledger_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"threadglade.example/threadglade/internal/durable"
+	"threadglade.example/threadglade/internal/durable/durabletest"
 	"threadglade.example/threadglade/internal/ledgerio"
 	"threadglade.example/threadglade/internal/standin"
 	"threadglade.example/threadglade/ledger"
@@ -382,3 +384,49 @@
 	require.NotZero(t, one[ledger.Offered])
 	require.NotZero(t, two[ledger.Offered])
 }
+
+// TestSlowDisk has each write hang in the system for 3 s while the router has one core: no answer is later than the patience and what a
+// busy machine adds, and all is written in the end.
+func TestSlowDisk(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, 2, standin.ServerConfig{Hold: [2]time.Duration{5 * time.Millisecond, 9 * time.Millisecond}})
+	listen, dir, out := port(t), filepath.Join(s.dir, "ledger"), filepath.Join(s.dir, "out")
+	c := start(t, append(s.config("n0", listen), "KILL=slow journal 20"), "serve", "--settings", s.file("settings", books(dir, out, "")))
+	c.await(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	load := standin.StartLoad(ctx, standin.LoadConfig{Target: func() string { return listen }, Connections: 2, Rate: 200, Classes: []string{"voice"}, Numbers: []string{"92"}, Record: true})
+	n := load.Wait()
+	require.Zero(t, n.Failed+n.Lost+n.Odd)
+	require.Greater(t, n.Offered, 600)
+	require.Less(t, slices.Max(n.Latency), time.Second, "an answer waited for the disk")
+	require.Contains(t, c.log(), "ledger_trouble")
+	c.kill()
+	c = start(t, s.config("n0", listen), "serve", "--settings", filepath.Join(s.dir, "settings"))
+	c.await(t)
+	time.Sleep(300 * time.Millisecond)
+	c.end(t)
+	text, code := tool(t, "ledger", "verify", dir)
+	require.Zero(t, code, text)
+}
+
+// TestMergeFindings: a call that two routers claim, and a file of a later version, are findings of the command.
+func TestMergeFindings(t *testing.T) {
+	dir := t.TempDir()
+	for _, router := range []string{"n0", "n1"} {
+		e, calls := ledger.NewExport(ledger.Terms{Router: router, Length: 60_000}, &ledger.Statement{Sequence: 1, From: 60_000, To: 120_000, Calls: []uint64{7, 9}}, nil)
+		require.NoError(t, ledgerio.WriteExport(durable.OS{}, filepath.Join(dir, e.FileName()), e, calls))
+	}
+	text, code := tool(t, "ledger", "merge", dir)
+	require.Equal(t, exitFinding, code)
+	require.Contains(t, text, "claim:  call 0000000000000007 stood in n0's statement 1 and in n1's statement 1")
+	files, _ := filepath.Glob(filepath.Join(dir, "*.tgx"))
+	b, err := os.ReadFile(files[0])
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(files[0], durabletest.Newer(b), 0o600))
+	text, code = tool(t, "ledger", "merge", dir)
+	require.Equal(t, exitFinding, code)
+	require.Contains(t, text, "newer: ")
+	require.Contains(t, text, "version 2, this program reads up to 1")
+	require.NotContains(t, text, "claim")
+}
--- a/internal/durable/durabletest/durabletest.go
+++ b/internal/durable/durabletest/durabletest.go
@@ -4,8 +4,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"io/fs"
 	"math/rand/v2"
@@ -391,6 +393,14 @@
 
 func (h *handle) Close() error { return nil }
 
+// Newer makes a durable file one of the next version, whole in itself.
+func Newer(b []byte) []byte {
+	b = bytes.Clone(b)
+	binary.LittleEndian.PutUint16(b[8:], binary.LittleEndian.Uint16(b[8:])+1)
+	binary.LittleEndian.PutUint32(b[44:], crc32.Checksum(b[:44], crc32.MakeTable(crc32.Castagnoli)))
+	return b
+}
+
 // Wait calls f until it holds, for a while; false if it never does.
 func Wait(f func() bool) bool {
 	for range 5000 {
--- a/internal/ledgerio/carrier.go
+++ b/internal/ledgerio/carrier.go
@@ -389,7 +389,7 @@
 		for i := range b.entries {
 			e := &b.entries[i]
 			if err := c.book.Apply(e); err != nil {
-				c.cfg.Log.Error().Str("event", "ledger_fault").Msgf("ledger: %v", err)
+				c.complain("ledger_fault", err)
 			}
 			closed = closed || e.Kind == ledger.Close
 		}
--- a/internal/ledgerio/carrier_test.go
+++ b/internal/ledgerio/carrier_test.go
@@ -1,6 +1,7 @@
 package ledgerio
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -421,15 +422,22 @@
 	require.NoError(t, err)
 }
 
-// TestNewer: a file of a later version is refused by name.
-func TestNewer(t *testing.T) {
+// TestEnds: an export that ends early, and one of a later version, are refused by name.
+func TestEnds(t *testing.T) {
 	d := newDesk(t, 1)
-	require.NoError(t, durable.WriteFile(d.fs, "out/x.tgx", func(w io.Writer) error {
-		_, err := durable.NewWriter(w, durable.Header{Kind: kindExport, Number: 1})
-		return err
-	}))
+	write := func(path string, change func([]byte) []byte) {
+		var b bytes.Buffer
+		_, err := durable.NewWriter(&b, durable.Header{Kind: kindExport, Number: 1})
+		require.NoError(t, err)
+		require.NoError(t, durable.WriteFile(d.fs, path, func(w io.Writer) error { _, err := w.Write(change(b.Bytes())); return err }))
+	}
+	write("out/x.tgx", func(b []byte) []byte { return b })
 	_, err := ReadExport(d.fs, "out/x.tgx", nil)
 	require.ErrorContains(t, err, "out/x.tgx: offset 48: the file ends before the export does")
+	write("out/y.tgx", durabletest.Newer)
+	_, err = ReadExport(d.fs, "out/y.tgx", nil)
+	require.ErrorIs(t, err, durable.ErrNewer)
+	require.ErrorContains(t, err, "out/y.tgx: version 2")
 }
 
 func TestSettings(t *testing.T) {
--- a/internal/traceio/recorder.go
+++ b/internal/traceio/recorder.go
@@ -25,8 +25,9 @@
 	// queueMost records may wait for the writer, which looks every lookEvery.
 	queueMost = 8192
 	lookEvery = 10 * time.Millisecond
-	// followMost calls are followed at once, and unansweredMost set-ups of one server.
+	// followMost calls are followed at once, serversMost servers, and unansweredMost set-ups of one server.
 	followMost     = 200_000
+	serversMost    = 10_000
 	unansweredMost = 4096
 	// dumpPause is the least time between two flights that a trigger writes out.
 	dumpPause = time.Minute
@@ -216,6 +217,9 @@
 func (r *Recorder) server(id string) *known {
 	s := r.servers[id]
 	if s == nil {
+		if len(r.servers) >= serversMost { // those that are gone but were asked about since
+			clear(r.servers)
+		}
 		s = &known{freeAt: -1, loadAt: -1}
 		r.servers[id] = s
 	}
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	// namesMost names may be in the books; calls of further tenants count as Other's.
-	namesMost = 200_000
+	// namesMost names may be in the books; calls of further tenants count as Other's. What others make up must not take
+	// the room of tenants that the settings name: servers, which are replaced for ever, and tenants that set-ups state
+	// have bounds of their own.
+	namesMost   = 200_000
+	serversMost = 50_000
+	statedMost  = 50_000
 	// Other is the tenant, class or server of calls for whose names there is no room.
 	Other = "(other)"
 	// spillsMost (tenant, class, period) totals are kept while entries cannot be; more are Other's.
@@ -50,6 +54,7 @@
 	terms  Terms
 	index  map[string]uint32
 	names  []string
+	others [2]int // names of servers and of stated tenants among them, since the start
 	live   map[string]*live
 	free   []*live
 	old    map[uint64]*Open // of earlier lives, while their end is not known
@@ -146,12 +151,24 @@
 	return k.now
 }
 
+// Sources of names that have bounds of their own.
+const (
+	ofServers = iota
+	ofStated
+	ofSettings
+)
+
 // name is the index of a text.
-func (k *Keeper) name(text string) uint32 {
+func (k *Keeper) name(text string, of int) uint32 {
 	if i, known := k.index[text]; known {
 		return i
 	}
-	if len(k.names) >= namesMost {
+	full := len(k.names) >= namesMost
+	if of != ofSettings {
+		k.others[of]++
+		full = full || k.others[of] > [...]int{serversMost, statedMost}[of]
+	}
+	if full {
 		if i, known := k.index[Other]; known {
 			return i
 		}
@@ -188,7 +205,7 @@
 	}
 	switch e.Kind {
 	case router.Sent:
-		l.server, l.attempt, l.out, l.since = k.name(e.Server), uint32(e.Attempt), true, k.time()
+		l.server, l.attempt, l.out, l.since = k.name(e.Server, ofServers), uint32(e.Attempt), true, k.time()
 		k.intent(l)
 	case router.AttemptEnded:
 		l.usage[ended(e.Outcome)]++
@@ -239,7 +256,11 @@
 		tenant = k.cfg.Tenants.Tenant(e.Tenant, e.Identity, e.Caller, e.Number)
 	}
 	l.at, l.call, l.retry = e.At, CallKey(e.Call), e.Retry
-	l.tenant, l.class, l.earns = k.name(tenant), k.name(e.Class), k.cfg.Classes[e.Class]
+	of := ofSettings
+	if tenant == e.Tenant {
+		of = ofStated
+	}
+	l.tenant, l.class, l.earns = k.name(tenant, of), k.name(e.Class, ofSettings), k.cfg.Classes[e.Class]
 	l.usage[Offered] = 1
 	if e.Retry {
 		l.usage[Repeats] = 1
@@ -285,7 +306,7 @@
 	t := k.spill.totals[key]
 	if t == nil {
 		if len(k.spill.totals) >= spillsMost {
-			key.tenant, key.class = k.name(Other), k.name(Other)
+			key.tenant, key.class = k.name(Other, ofSettings), k.name(Other, ofSettings)
 			t = k.spill.totals[key]
 		}
 		if t == nil {
