Trim a ledger's names at each start; one log for the tests of files

Change: a start keeps the names of open calls alone, in a segment of its own; durabletest.Log serves both tests.

--- a/internal/durable/durabletest/durabletest.go
+++ b/internal/durable/durabletest/durabletest.go
@@ -393,6 +393,25 @@
 
 func (h *handle) Close() error { return nil }
 
+// Log keeps what is logged to it.
+type Log struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *Log) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+// Has says whether it holds a text.
+func (l *Log) Has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
 // Newer makes a durable file one of the next version, whole in itself.
 func Newer(b []byte) []byte {
 	b = bytes.Clone(b)
--- a/internal/ledgerio/carrier.go
+++ b/internal/ledgerio/carrier.go
@@ -161,6 +161,7 @@
 			time.Duration(book.Length)*time.Millisecond, cfg.Terms.Router, time.Duration(cfg.Terms.Length)*time.Millisecond)
 	}
 	book.Terms = cfg.Terms
+	book.Trim()
 	c := &Carrier{cfg: cfg, book: book, queue: xsync.NewSPSCQueue[batch](batchesMost), spare: xsync.NewSPSCQueue[[]ledger.Entry](spareMost),
 		wake: make(chan struct{}, 1), stop: make(chan struct{}), closed: make(chan struct{}, 1)}
 	c.keeper = ledger.NewKeeper(ledger.KeeperConfig{Classes: cfg.Classes, Tenants: cfg.Tenants, Wall: cfg.Wall}, book)
--- a/internal/ledgerio/carrier_test.go
+++ b/internal/ledgerio/carrier_test.go
@@ -34,7 +34,7 @@
 	options Options
 	wall    atomic.Int64
 	clock   time.Duration
-	log     logs
+	log     durabletest.Log
 	next    int
 	offered map[string]bool // calls told to the ledger
 	seen    map[string]bool // calls whose set-up has left
@@ -42,23 +42,6 @@
 	up      []string        // stand at the server
 }
 
-type logs struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *logs) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-func (l *logs) has(event string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Contains(l.text.String(), `"`+event+`"`)
-}
-
 func newDesk(t testing.TB, seed uint64) *desk {
 	d := &desk{t: t, fs: durabletest.New(seed), options: Defaults(), offered: map[string]bool{}, seen: map[string]bool{}, stood: map[string]bool{}}
 	d.wall.Store(1000 * minute)
@@ -313,7 +296,7 @@
 			ok, after := d.c.Admit(router.Request{})
 			require.False(t, ok)
 			require.Equal(t, time.Second, after)
-			require.True(t, d.log.has("ledger_trouble"))
+			require.True(t, d.log.Has(`"ledger_trouble"`))
 			mend()
 			require.True(t, durabletest.Wait(func() bool {
 				d.c.Commit()
@@ -321,7 +304,7 @@
 				ok, _ := d.c.Admit(router.Request{})
 				return ok
 			}), "it comes back by itself")
-			require.True(t, d.log.has("ledger_back"))
+			require.True(t, d.log.Has(`"ledger_back"`))
 			require.NoError(t, d.c.Close())
 			v, err := Inspect(d.fs, "ledger")
 			require.NoError(t, err)
@@ -339,7 +322,7 @@
 	d.fs.Plan = func(durabletest.Step) durabletest.Fault { return durabletest.Fail }
 	require.NoError(t, d.open(), "a disk that takes nothing keeps no router from starting")
 	d.call()
-	require.True(t, d.log.has("ledger_trouble"))
+	require.True(t, d.log.Has(`"ledger_trouble"`))
 	require.Error(t, d.c.Close(), "but what was lost is told")
 }
 
--- a/internal/traceio/traceio_test.go
+++ b/internal/traceio/traceio_test.go
@@ -263,28 +263,11 @@
 	require.NoError(t, err)
 }
 
-type logs struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *logs) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-func (l *logs) has(text string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Contains(l.text.String(), text)
-}
-
 type rig struct {
 	f   *durabletest.FS
 	r   *Recorder
 	now atomic.Int64
-	log logs
+	log durabletest.Log
 }
 
 func (g *rig) clock() time.Duration { return time.Duration(g.now.Load()) }
@@ -387,7 +370,7 @@
 	require.True(t, durabletest.Wait(func() bool { return g.r.Counters().Written >= 4 }))
 	set(true)
 	g.call("b", router.Stood)
-	require.True(t, durabletest.Wait(func() bool { return g.log.has("trace_failed") }))
+	require.True(t, durabletest.Wait(func() bool { return g.log.Has("trace_failed") }))
 	set(false)
 	require.True(t, durabletest.Wait(func() bool {
 		g.call("c", router.Stood)
@@ -444,14 +427,14 @@
 		g.call(fmt.Sprintf("%016x", 1000+i), router.Refused)
 	}
 	require.True(t, durabletest.Wait(func() bool { return g.r.Counters().Flights == 2 }))
-	require.True(t, g.log.has(`"why":"losses"`))
+	require.True(t, g.log.Has(`"why":"losses"`))
 	for i := range 60 {
 		g.call(fmt.Sprintf("%016x", 2000+i), router.Refused)
 	}
 	g.now.Add(int64(2 * time.Minute))
 	g.r.Observe(router.Event{Kind: router.Arrived, At: g.clock(), Call: "x", Class: "voice"})
 	g.r.Observe(router.Event{Kind: router.AttemptEnded, At: g.clock(), Call: "x", Outcome: threadglade.NotSent})
-	require.True(t, durabletest.Wait(func() bool { return g.log.has(`"why":"backstop"`) }))
+	require.True(t, durabletest.Wait(func() bool { return g.log.Has(`"why":"backstop"`) }))
 	require.NoError(t, g.r.Close())
 	require.EqualValues(t, 3, g.r.Counters().Flights, "not again within a minute")
 }
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -214,6 +214,24 @@
 	}
 }
 
+// Trim drops names that no open call needs and numbers the rest anew. It is for a start, after which a segment of its own begins:
+// servers that are gone would else stay in the books for ever.
+func (b *Book) Trim() {
+	names, at := []string{""}, map[uint32]uint32{0: 0}
+	move := func(index uint32) uint32 {
+		if _, known := at[index]; !known {
+			at[index] = uint32(len(names))
+			names = append(names, b.Name(index))
+		}
+		return at[index]
+	}
+	for _, key := range slices.Sorted(maps.Keys(b.Calls)) {
+		c := b.Calls[key]
+		c.Tenant, c.Class, c.Server = move(c.Tenant), move(c.Class), move(c.Server)
+	}
+	b.Names = names
+}
+
 // Checkpoint is entries that make this book anew.
 func (b *Book) Checkpoint() []Entry {
 	list := make([]Entry, 0, 2+len(b.Names)+2*len(b.Calls))
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -313,6 +313,31 @@
 	require.Empty(t, b.book(t).Calls)
 }
 
+// TestTrim: a new life keeps the names of calls that are open, and no others.
+func TestTrim(t *testing.T) {
+	b := newBench(t, 0)
+	for i := range 50 {
+		id := fmt.Sprint(i)
+		b.arrive(id)
+		b.tell(router.Sent, id, router.Event{Server: "s" + id})
+		b.tell(router.Stood, id, router.Event{})
+		if i != 30 {
+			b.finish(id, threadglade.Concluded)
+		}
+	}
+	b.take()
+	book := b.book(t)
+	require.Len(t, book.Names, 53)
+	book.Trim()
+	require.ElementsMatch(t, []string{"", "lda", "voice", "s30"}, book.Names)
+	again := NewBook()
+	for _, e := range book.Checkpoint() {
+		require.NoError(t, again.Apply(&e))
+	}
+	c := again.Calls[CallKey("30")]
+	require.Equal(t, []string{"lda", "voice", "s30"}, []string{again.Name(c.Tenant), again.Name(c.Class), again.Name(c.Server)})
+}
+
 // TestHistories plays random calls, waits, clock jumps and crashes, and compares with a count on the side.
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
