Keep the scenario clock from outrunning the stand-ins that a router waits for

A step of the clock now ends only when each query sent is answered and each connection opened is accepted.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -358,6 +358,11 @@
 	return text
 }
 
+// Outside counts what went to case servers and to the name service. It is for the loop's own goroutine.
+func (n *Node) Outside() (sip.TrunkCounters, registry.Counters) {
+	return n.trunk.Counters(), n.names.Counters()
+}
+
 // Limit keeps the process within one core and its memory.
 func Limit(c Config) {
 	runtime.GOMAXPROCS(1)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -57,23 +57,27 @@
 
 // world is one play of a scenario.
 type world struct {
-	t       *testing.T
-	node    *node.Node
-	ended   chan error
-	clock   atomic.Int64
-	mu      sync.Mutex
-	lines   strings.Builder
-	seen    int // of lines, by log
-	peers   map[string]*peer
-	vars    map[string]string
-	names   *standin.Names
-	listing []string
-	second  netip.AddrPort
-	config  string // as the router was started with
-	disk    *durabletest.FS
-	full    atomic.Bool
-	back    func()
-	check   callcontrol.Verify
+	t     *testing.T
+	node  *node.Node
+	ended chan error
+	clock atomic.Int64
+	// accepted counts connections that server stand-ins have taken; missed are queries and answers that were lost as a name
+	// service ended.
+	accepted atomic.Uint64
+	missed   [2]uint64
+	mu       sync.Mutex
+	lines    strings.Builder
+	seen     int // of lines, by log
+	peers    map[string]*peer
+	vars     map[string]string
+	names    *standin.Names
+	listing  []string
+	second   netip.AddrPort
+	config   string // as the router was started with
+	disk     *durabletest.FS
+	full     atomic.Bool
+	back     func()
+	check    callcontrol.Verify
 }
 
 func play(t *testing.T, script string) *world {
@@ -212,17 +216,33 @@
 	return fmt.Errorf("no verb %q", verb)
 }
 
-// advance moves the router's clock in small steps and has the loop see each.
+// advance moves the router's clock in small steps and has the loop see each. The clock never outruns the stand-ins: a query
+// that the router has sent is answered, and a connection that it has opened is accepted, before the next step.
 func (w *world) advance(d time.Duration) {
 	for ; d > 0; d -= 5 * time.Millisecond {
 		w.clock.Add(int64(min(d, 5*time.Millisecond)))
-		done := make(chan bool)
-		w.node.Loop.Post(func() { close(done) })
-		select {
-		case <-done:
-		case <-w.ended:
-			w.ended <- nil
-			return
+		for stop := time.Now().Add(time.Second); ; time.Sleep(50 * time.Microsecond) {
+			done, met := make(chan bool), false
+			w.node.Loop.Post(func() {
+				trunk, names := w.node.Outside()
+				asked, told, open := w.names.Counts()
+				met = w.accepted.Load() >= trunk.Opened && (!open || asked+w.missed[0] >= names.Queries &&
+					names.Answers+names.Malformed+w.missed[1] >= told)
+				if !met && time.Now().After(stop) { // one of them has ended meanwhile: what it missed never comes
+					w.accepted.Store(max(w.accepted.Load(), trunk.Opened))
+					w.missed = [2]uint64{names.Queries - min(asked, names.Queries), told - min(names.Answers+names.Malformed, told)}
+				}
+				close(done)
+			})
+			select {
+			case <-done:
+			case <-w.ended:
+				w.ended <- nil
+				return
+			}
+			if met {
+				break
+			}
 		}
 	}
 }
@@ -364,6 +384,7 @@
 		p.mu.Lock()
 		p.conn = conn
 		p.mu.Unlock()
+		p.w.accepted.Add(1)
 		go p.read(bufio.NewReader(conn), readSIP)
 	}
 }
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -78,8 +78,8 @@
 
 // TrunkCounters count what went to case servers and came from them. Peers, Legs and Given are what is held now.
 type TrunkCounters struct {
-	Dials, DialsFailed, Closed, Invites, Unsent, Cancels, Releases, Messages, Malformed, Cut, Salvaged, States, Crossed, Unknown, Silent uint64
-	Peers, Legs, Given                                                                                                                   int
+	Dials, DialsFailed, Opened, Closed, Invites, Unsent, Cancels, Releases, Messages, Malformed, Cut, Salvaged, States, Crossed, Unknown, Silent uint64
+	Peers, Legs, Given                                                                                                                           int
 }
 
 // peer is one server and the connections to it.
@@ -305,6 +305,7 @@
 	p := l.p
 	now := p.t.cfg.Clock()
 	l.since, l.heard = now, now
+	p.t.count.Opened++
 	if p.dial != l {
 		l.conn.Close(loop.ErrAbandoned)
 		return
--- a/internal/standin/names.go
+++ b/internal/standin/names.go
@@ -24,6 +24,9 @@
 	serial uint32
 	list   []Entry
 	lossy  bool
+	asked  uint64
+	told   uint64
+	closed bool
 }
 
 // NewNames answers on loopback until Close. With lossy, every other query is lost.
@@ -41,7 +44,12 @@
 func (n *Names) Addr() string { return n.conn.LocalAddr().String() }
 
 // Close ends it.
-func (n *Names) Close() { n.conn.Close() }
+func (n *Names) Close() {
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
+	n.conn.Close()
+}
 
 // Set changes the list; serial 0 counts one on.
 func (n *Names) Set(serial uint32, list []Entry) {
@@ -60,6 +68,13 @@
 	return n.serial
 }
 
+// Counts tells how many queries have come, how many of them were answered, and whether it still answers.
+func (n *Names) Counts() (asked, answered uint64, open bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.asked, n.told, !n.closed
+}
+
 func (n *Names) serve() {
 	b := make([]byte, 1024)
 	for lost := n.lossy; ; lost = n.lossy && !lost {
@@ -67,12 +82,18 @@
 		if err != nil {
 			return
 		}
+		n.mu.Lock()
+		answer := n.records(b[:size])
+		n.mu.Unlock()
 		if !lost {
-			n.mu.Lock()
-			answer := n.records(b[:size])
-			n.mu.Unlock()
 			n.conn.WriteToUDP(answer, from)
 		}
+		n.mu.Lock()
+		n.asked++
+		if !lost {
+			n.told++
+		}
+		n.mu.Unlock()
 	}
 }
 
