--- a/internal/traceio/traceio_test.go
+++ b/internal/traceio/traceio_test.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
 	"errors"
+	"flag"
 	"fmt"
+	"hash/crc32"
 	"io"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -484,3 +488,46 @@
 	require.Zero(t, testing.AllocsPerRun(1000, func() { g.call("00112233445566ff", router.Stood) }))
 	require.NoError(t, g.r.Close())
 }
+
+var fixture = flag.Bool("fixture", false, "write testdata/v1.tgt anew")
+
+// TestVersions: a file that version 1's writer made, kept as it was, reads as it was written, by index and by scan; one of the next
+// version is refused by its number.
+func TestVersions(t *testing.T) {
+	const path = "testdata/v1.tgt"
+	if *fixture {
+		write(t, durable.OS{}, path, trace.Meta{Router: "n0", Life: day, Part: 1, Build: "v1", Classes: []trace.ClassMeta{{Name: "voice", AimMs: 1200, Worth: 1, Late: 0.2}}}, 40)
+	}
+	var want []trace.Record
+	for n := range 40 {
+		want = append(want, records(n)...)
+	}
+	order := func(a, b trace.Record) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Kind, b.Kind)) }
+	slices.SortStableFunc(want, order)
+	for i := range want {
+		want[i].S[trace.Router] = "n0"
+	}
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for _, cut := range []int{0, 3} { // whole, and without the end of its index
+		f := durabletest.New(1)
+		require.NoError(t, durable.WriteFile(f, "old.tgt", func(w io.Writer) error { _, err := w.Write(text[:len(text)-cut]); return err }))
+		have := readAll(t, f, "old.tgt", trace.Selection{})
+		slices.SortStableFunc(have, order)
+		require.True(t, slices.Equal(want, have))
+	}
+	file, err := Open(durable.OS{}, path)
+	require.NoError(t, err)
+	require.Equal(t, "v1", file.Meta.Build)
+	require.EqualValues(t, 1200, file.Meta.Classes[0].AimMs)
+	require.NoError(t, file.Close())
+
+	next := slices.Clone(text)
+	next[8]++ // the version, under the header's checksum
+	binary.LittleEndian.PutUint32(next[44:], crc32.Checksum(next[:44], crc32.MakeTable(crc32.Castagnoli)))
+	f := durabletest.New(1)
+	require.NoError(t, durable.WriteFile(f, "new.tgt", func(w io.Writer) error { _, err := w.Write(next); return err }))
+	_, err = Open(f, "new.tgt")
+	require.ErrorIs(t, err, durable.ErrNewer)
+	require.ErrorContains(t, err, "new.tgt: version 2, this program reads up to 1")
+}
