--- a/controller.go
+++ b/controller.go
@@ -9,7 +9,6 @@
 import (
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -95,7 +94,7 @@
 	classes    map[string]*Class
 	tenants    map[string]*tenant
 	topWorth   float64
-	random     *rand.Rand
+	random     draws
 	now        time.Duration
 	nextTick   time.Duration
 	servers    []*server // in the order in which they were first listed
@@ -212,7 +211,7 @@
 	}
 	c := &Controller{
 		set: set, classes: map[string]*Class{}, tenants: map[string]*tenant{},
-		random: rand.New(rand.NewPCG(seed, 0)),
+		random: newDraws(seed),
 		byID:   map[string]*server{}, calls: map[string]*call{}, timers: map[int64]*call{},
 		tried: map[string]time.Duration{}, busy: map[string]rest{},
 	}
--- a/random_test.go
+++ b/random_test.go
@@ -23,6 +23,7 @@
 	told    map[string]time.Duration // when it was told that a server drains or is gone
 	cold    map[string][]time.Duration
 	log     []string
+	watch   func(*world, Event) func([]Action) // hears each event first, then what came of it; nil: nobody does
 }
 
 type played struct {
@@ -35,13 +36,15 @@
 	released time.Duration
 }
 
-func play(t *testing.T, set Settings, seed uint64) []string {
+func play(t *testing.T, set Settings, seed uint64) []string { return playWith(t, set, seed, nil) }
+
+func playWith(t *testing.T, set Settings, seed uint64, watch func(*world, Event) func([]Action)) []string {
 	c, err := New(set, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &world{t: t, set: set, random: rand.New(rand.NewPCG(seed, 1)), c: c, now: time.Minute,
-		calls: map[string]*played{}, told: map[string]time.Duration{}, cold: map[string][]time.Duration{}}
+		calls: map[string]*played{}, told: map[string]time.Duration{}, cold: map[string][]time.Duration{}, watch: watch}
 	for n := range set.Classes[0].Servers {
 		w.servers = append(w.servers, Server{ID: fmt.Sprint("s", n), Number: set.Classes[0].Servers[n]})
 	}
@@ -70,7 +73,11 @@
 		w.calls[id] = &played{deadline: w.now + left}
 		w.order = append(w.order, id)
 		class := w.set.Classes[w.random.IntN(len(w.set.Classes))].Name
-		w.give(Arrival{Call: id, Class: class, Number: fmt.Sprint("n", w.random.IntN(900)), TimeLeft: left,
+		tenant := ""
+		if n := len(w.set.Tenants); n > 0 {
+			tenant = w.set.Tenants[w.random.IntN(n)].Name
+		}
+		w.give(Arrival{Call: id, Class: class, Tenant: tenant, Number: fmt.Sprint("n", w.random.IntN(900)), TimeLeft: left,
 			Destination: w.servers[w.random.IntN(len(w.servers))].Number, Retry: w.random.IntN(4) == 0})
 	case p < 90:
 		w.progress()
@@ -147,7 +154,13 @@
 }
 
 func (w *world) give(e Event) {
-	for _, a := range w.c.Handle(w.now, e) {
+	then := func([]Action) {}
+	if w.watch != nil {
+		then = w.watch(w, e)
+	}
+	actions := w.c.Handle(w.now, e)
+	then(actions)
+	for _, a := range actions {
 		w.log = append(w.log, fmt.Sprintf("%v %#v", w.now, a))
 		switch a := a.(type) {
 		case SetTimer:
--- a/router/router.go
+++ b/router/router.go
@@ -247,7 +247,7 @@
 				return
 			}
 		}
-		r.at(req.Deadline+lateBy, func() { r.overdue(c) })
+		r.set(timer{at: req.Deadline + lateBy, kind: timerOverdue, call: c})
 		r.tell(threadglade.Arrival{Call: req.ID, Class: req.Class, Tenant: req.Tenant, Number: req.Number,
 			TimeLeft: req.Deadline - now, Destination: req.Destination, Retry: req.Retry})
 	})
@@ -467,7 +467,7 @@
 	}
 	if !r.lapsing {
 		r.lapsing = true
-		r.at(now+rememberFor, r.lapseLater)
+		r.set(timer{at: now + rememberFor, kind: timerLapse})
 	}
 }
 
@@ -475,7 +475,7 @@
 func (r *Router) lapseLater() {
 	r.lapse()
 	if r.lapsing = len(r.overAt) > 0; r.lapsing {
-		r.at(max(r.overAt[0].at+rememberFor, r.cfg.Clock()+time.Second), r.lapseLater)
+		r.set(timer{at: max(r.overAt[0].at+rememberFor, r.cfg.Clock()+time.Second), kind: timerLapse})
 	} else {
 		r.overAt = nil
 	}
@@ -527,7 +527,7 @@
 				}
 			})
 		case threadglade.SetTimer:
-			r.at(a.At, func() { r.tell(threadglade.Due{Token: a.Token}) })
+			r.set(timer{at: a.At, kind: timerDue, number: a.Token})
 		case threadglade.Subscribe:
 			// The list is always followed: whoever owns it calls List for every change.
 		}
@@ -614,13 +614,7 @@
 	}
 	r.count.Attempts++
 	r.observeDecision(Sent, c, c.attempt.Server, a.Why, Event{})
-	index := c.attempt.Index
-	r.at(deadline, func() {
-		if c.out && c.attempt.Index == index {
-			r.cfg.Trunk.GiveUp(c.attempt)
-			r.end(c, threadglade.TimedOut, threadglade.CauseNone, false)
-		}
-	})
+	r.set(timer{at: deadline, kind: timerAttempt, call: c, number: int64(c.attempt.Index)})
 	r.cfg.Trunk.Send(c.attempt)
 }
 
@@ -647,10 +641,43 @@
 
 // ---- timers ----
 
+// timer is what is to be done at a time: as figures, for a clone to have, but for what others set.
 type timer struct {
-	at    time.Duration
-	order uint64
-	f     func()
+	at     time.Duration
+	order  uint64
+	kind   timerKind
+	call   *call
+	number int64  // the Controller's token, or the attempt's index
+	f      func() // of timerOther
+}
+
+type timerKind uint8
+
+const (
+	timerOther   timerKind = iota // somebody else's
+	timerOverdue                  // the backstop of a request's deadline
+	timerAttempt                  // the end of an attempt's time
+	timerDue                      // the Controller's
+	timerLapse                    // ids that are over are forgotten
+)
+
+// fire does what a timer was set for.
+func (r *Router) fire(t *timer) {
+	switch t.kind {
+	case timerOther:
+		t.f()
+	case timerOverdue:
+		r.overdue(t.call)
+	case timerAttempt:
+		if c := t.call; c.out && c.attempt.Index == int(t.number) {
+			r.cfg.Trunk.GiveUp(c.attempt)
+			r.end(c, threadglade.TimedOut, threadglade.CauseNone, false)
+		}
+	case timerDue:
+		r.tell(threadglade.Due{Token: t.number})
+	case timerLapse:
+		r.lapseLater()
+	}
 }
 
 type timers []timer
@@ -670,13 +697,14 @@
 }
 
 // At has f called by Tick at a time on the router's clock or soon after.
-func (r *Router) At(at time.Duration, f func()) { r.at(at, f) }
+func (r *Router) At(at time.Duration, f func()) { r.set(timer{at: at, f: f}) }
 
-func (r *Router) at(at time.Duration, f func()) {
+func (r *Router) set(t timer) {
 	r.mu.Lock()
 	r.order++
-	first := len(r.timers) == 0 || at < r.timers[0].at
-	heap.Push(&r.timers, timer{at, r.order, f})
+	t.order = r.order
+	first := len(r.timers) == 0 || t.at < r.timers[0].at
+	heap.Push(&r.timers, t)
 	r.mu.Unlock()
 	if first && r.cfg.Wake != nil {
 		r.cfg.Wake()
@@ -708,7 +736,7 @@
 		}
 		due := heap.Pop(&r.timers).(timer)
 		r.mu.Unlock()
-		r.do(nil, func([]byte) { due.f() })
+		r.do(nil, func([]byte) { r.fire(&due) })
 	}
 }
 
