--- /dev/null
+++ b/cmd/threadglade/explore.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"threadglade.example/threadglade/explore"
+)
+
+func exploreCommand() *cobra.Command {
+	root := &cobra.Command{Use: "explore", Short: "Try the router's decisions on every order of events in a small world", Args: cobra.NoArgs,
+		Long: "Try the router's own code on every order of events that a small world allows, and check the rules at each step.\n" +
+			"Exit code 0: they hold, or --list; 1: one does not, with a shortest way there, or a bound was reached first; 2: usage."}
+	var world string
+	var list, asJSON bool
+	var calls, servers, attempts int
+	var limits explore.Limits
+	root.Flags().StringVar(&world, "world", explore.Worlds()[0].Name, "which world")
+	root.Flags().BoolVar(&list, "list", false, "name the worlds and the properties")
+	root.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	root.Flags().IntVar(&calls, "calls", 0, "calls in it; 0: as the world has it")
+	root.Flags().IntVar(&servers, "servers", 0, "case servers in it")
+	root.Flags().IntVar(&attempts, "attempts", 0, "attempts that a call may take")
+	root.Flags().IntVar(&limits.Workers, "workers", 0, "states worked on at once; 0: as many as there are processors")
+	root.Flags().Int64Var(&limits.States, "states", 1_000_000, "end after so many distinct states, which bounds the memory to some 8 kB each; 0: no bound")
+	root.Flags().DurationVar(&limits.Time, "time", 10*time.Minute, "end after about this time; 0: no bound")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+	root.RunE = func(cmd *cobra.Command, _ []string) error {
+		if list {
+			return put(cmd.OutOrStdout(), asJSON, map[string]any{"worlds": explore.Worlds(), "properties": explore.Properties}, printWorlds)
+		}
+		w, err := explore.Find(world)
+		if err != nil {
+			return usage(fmt.Errorf("%w: %q; see --list", err, world))
+		}
+		for _, n := range []struct {
+			flag string
+			have int
+			into *int
+			most int
+		}{{"calls", calls, &w.Calls, 16}, {"servers", servers, &w.Servers, 16}, {"attempts", attempts, &w.Attempts, 6}} {
+			if n.have < 0 || n.have > n.most {
+				return usage(fmt.Errorf("--%s: %d is not within 1 and %d", n.flag, n.have, n.most))
+			}
+			if n.have > 0 {
+				*n.into = n.have
+			}
+		}
+		res, err := explore.Run(w, limits)
+		if err != nil {
+			return err
+		}
+		if err := put(cmd.OutOrStdout(), asJSON, res, func(out io.Writer) { printResult(out, res) }); err != nil {
+			return err
+		}
+		switch {
+		case res.Broken != "":
+			return exit{exitFinding, errors.New("a property does not hold")}
+		case !res.Complete:
+			return exit{exitFinding, errors.New("a bound was reached before all states were")}
+		}
+		return nil
+	}
+	return root
+}
+
+func printWorlds(out io.Writer) {
+	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "world\tcalls\tservers\tattempts\t")
+	for _, w := range explore.Worlds() {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%s\n", w.Name, w.Calls, w.Servers, w.Attempts, w.About)
+	}
+	t.Flush()
+	fmt.Fprintln(out, "\nproperties")
+	for _, p := range explore.Properties {
+		fmt.Fprintln(out, "  "+p)
+	}
+}
+
+func printResult(out io.Writer, r explore.Result) {
+	fmt.Fprintf(out, "world %s: %d distinct states, %d transitions, %d ends, depth %d, at most %d at one depth, %v, %.0f transitions a second\n", r.World, r.Distinct,
+		r.Transitions, r.Ends, r.Depth, r.Widest, r.Took.Round(time.Millisecond), float64(r.Transitions)/r.Took.Seconds())
+	if r.Broken != "" {
+		fmt.Fprintln(out, "broken:", r.Broken)
+		for i, what := range r.Path {
+			fmt.Fprintf(out, "  %2d %s\n", i+1, what)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/threadglade/explore_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"threadglade.example/threadglade/explore"
+)
+
+// TestExplore: the command explores, tells what it knows, and says with its exit code when a bound was reached or it was called wrongly.
+func TestExplore(t *testing.T) {
+	t.Parallel()
+	text, code := tool(t, "explore", "--world", "cancel", "--calls", "1", "--json")
+	require.Zero(t, code, text)
+	var r explore.Result
+	require.NoError(t, json.Unmarshal([]byte(text), &r))
+	require.True(t, r.Complete)
+	require.Greater(t, r.Transitions, r.Distinct)
+	text, code = tool(t, "explore", "--states", "1000")
+	require.Equal(t, exitFinding, code)
+	require.Contains(t, text, "a bound was reached")
+	text, code = tool(t, "explore", "--list")
+	require.Zero(t, code)
+	require.Contains(t, text, "one attempt at once: ")
+	for _, args := range [][]string{{"--world", "moon"}, {"--calls", "99"}, {"--colour"}, {"more"}} {
+		text, code = tool(t, append([]string{"explore"}, args...)...)
+		require.Equal(t, exitUsage, code, "%v: %s", args, text)
+	}
+}
