Build 14 faults into the router for tests, and see the explorer find each

Properties that nothing breaks may check nothing. Two holes closed on the way: a call out anywhere once it is answered, and a release that the caller never hears.

--- a/explore/model.go
+++ b/explore/model.go
@@ -25,6 +25,7 @@
 	Stale    bool // answers and ends may come of attempts that are over, and releases of calls that do not stand
 	Lists    int  // changes of the list: drains, removals, restarts and returns
 	Lates    int  // timers that may be served 3 ms late
+	Idles    int  // times that 1.1 s may pass with nothing to do
 	Cold     bool // servers have just started
 	Endings  []Ending
 	Draw     uint64 // what every random draw gives: 0 the least, ^0 the most
@@ -53,7 +54,7 @@
 func Worlds() []World {
 	few := []Ending{endings[0], endings[4], endings[5]}
 	return []World{
-		{Name: "drain", About: "a list that drains, removes and restarts servers while calls are out", Calls: 2, Servers: 2, Attempts: 3, Lists: 1, Lates: 1, Endings: few},
+		{Name: "drain", About: "a list that drains, removes and restarts servers while calls are out", Calls: 2, Servers: 2, Attempts: 3, Lists: 1, Idles: 1, Lates: 1, Endings: few},
 		{Name: "small", About: "every way in which a set-up may end", Calls: 2, Servers: 2, Attempts: 2, Lates: 1, Endings: endings},
 		{Name: "cancel", About: "callers that leave and release, servers that answer late and twice", Calls: 2, Servers: 2, Attempts: 2, Leave: true, Release: true, Stale: true, Lates: 1, Endings: few},
 		{Name: "cold", About: "servers that have just started", Calls: 2, Servers: 2, Attempts: 2, Cold: true, Lists: 1, Lates: 1, Endings: few},
@@ -138,6 +139,7 @@
 	servers []caseServer
 	lists   int // that may still come
 	lates   int
+	idles   int
 	broken  string // the property that does not hold, with what shows it
 }
 
@@ -147,7 +149,7 @@
 func (c constant) Uint64() uint64 { return uint64(c) }
 
 func newModel(w *World) (*model, error) {
-	m := &model{w: w, rules: w.rules(), now: began, calls: make([]caller, w.Calls), servers: make([]caseServer, w.Servers), lists: w.Lists, lates: w.Lates}
+	m := &model{w: w, rules: w.rules(), now: began, calls: make([]caller, w.Calls), servers: make([]caseServer, w.Servers), lists: w.Lists, lates: w.Lates, idles: w.Idles}
 	r, err := router.New(m.config(w.settings()))
 	if err != nil {
 		return nil, err
@@ -235,9 +237,11 @@
 
 func (t *trunk) Release(a router.Attempt, _ threadglade.Outcome) {
 	m := (*model)(t)
-	if c := &m.calls[callOf(a.ID)]; c.phase != stands {
+	c := &m.calls[callOf(a.ID)]
+	if c.phase != stands {
 		m.breaks("a release reaches the server once: %s does not stand", a.ID)
 	}
+	c.phase = ended
 }
 
 // front is the callers.
@@ -335,9 +339,12 @@
 		if c.phase == stands {
 			add(func(m *model) { m.r.Ended(id, c.index, threadglade.Concluded, 0) }, "s%d releases call %d", c.server, i)
 			if m.w.Release {
-				add(func(m *model) { m.r.Release(id); m.calls[i].phase = ended }, "caller %d releases", i)
+				add(func(m *model) { m.r.Release(id) }, "caller %d releases", i)
 			}
 		}
+		if m.w.Stale && c.out > 0 && c.index > 0 {
+			add(func(m *model) { m.r.Ended(id, c.index-1, threadglade.Cut, 0) }, "s%d ends the attempt of call %d before the present one again", c.server, i)
+		}
 		if m.w.Stale && c.sends > 0 && c.out == 0 {
 			add(func(m *model) { m.r.Answered(id, c.index, nil) }, "s%d answers call %d again", c.server, i)
 			if c.phase != stands {
@@ -370,6 +377,13 @@
 			}
 		}
 	}
+	if m.idles > 0 && !busy {
+		add(func(m *model) {
+			m.now += 1100 * time.Millisecond
+			m.idles--
+			m.r.Tick()
+		}, "1.1 s pass")
+	}
 	if at, is := m.r.Next(); is && busy {
 		add(func(m *model) {
 			m.now = max(m.now, at)
@@ -388,10 +402,14 @@
 
 // check looks at a state between two events.
 func (m *model) check() {
-	owed, open := 0, false
+	owed, standing, open := 0, false, false
 	for i := range m.calls {
 		c := &m.calls[i]
+		standing = standing || c.phase == stands
 		open = open || c.phase == stands || c.out > 0
+		if c.out > 0 && c.phase != waiting {
+			m.breaks("no answer over an attempt: %s is answered or has left, and is out at %s", callID(i), serverID(c.out-1))
+		}
 		if c.phase != waiting {
 			continue
 		}
@@ -406,6 +424,9 @@
 	if have := m.r.Open(); have != owed {
 		m.breaks("tables: %d answers are owed, the router counts %d", owed, have)
 	}
+	if n := m.r.Counters().Calls; n == 0 && standing {
+		m.breaks("a release reaches the caller once: a call stands that the router has forgotten")
+	}
 	if n := m.r.Counters().Calls; owed == 0 && !open && n != 0 {
 		m.breaks("tables return to zero: %d calls are held with nothing owed", n)
 	}
@@ -426,7 +447,7 @@
 	for _, s := range m.servers {
 		b = binary.AppendVarint(append(b, byte(s.state)), int64(min(m.now-s.told, m.rules.DrainGrace+1)))
 	}
-	return m.r.AppendState(append(b, byte(m.lists), byte(m.lates)), m.now)
+	return m.r.AppendState(append(b, byte(m.lists), byte(m.lates), byte(m.idles)), m.now)
 }
 
 // Properties are what is checked, a sentence each; what breaks one begins as it does.
@@ -439,7 +460,7 @@
 	"nothing new after a drain: nothing is sent to a server 1 s after word that it drains or is gone",
 	"only listed servers: nothing is sent to a server that no list has named",
 	"an attempt is given up once: and only while it is out",
-	"no answer over an attempt: a call is not refused while it is out",
+	"no answer over an attempt: once a call is answered or has left it is out nowhere",
 	"what may have run is not told as refused: it has failed",
 	"a release reaches the server once: and only of a call that stands",
 	"a release reaches the caller once: and only of a call that stands",
--- /dev/null
+++ b/explore/mutant_test.go
@@ -0,0 +1,48 @@
+//go:build mutant
+
+package explore
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"threadglade.example/threadglade/router"
+)
+
+// found names the property that finds each mutant, as docs/design/explore.md lists it.
+var found = map[string]string{
+	"early-resend": "the wait before a resend", "attempt-more": "attempts are bounded", "deaf-to-leave": "no answer over an attempt",
+	"no-give-up": "no answer over an attempt", "any-end": "no answer over an attempt", "lost-release": "a release reaches the caller once",
+	"lost-timer": "an answer in time", "table-leak": "tables return to zero", "miscount": "tables", "told-refused": "what may have run",
+	"deaf-to-drain": "nothing new after a drain", "second-answer": "one final answer", "release-twice": "a release reaches the server once",
+	"silent-overdue": "nothing is forgotten",
+}
+
+// TestMutants: every fault that can be built in is found in a world of one call, or of two where it takes two, with a way there.
+func TestMutants(t *testing.T) {
+	defer router.Mutate("")
+	for _, name := range slices.Sorted(maps.Keys(router.Mutants)) {
+		router.Mutate(name)
+		res := Result{}
+		for _, w := range Worlds() {
+			w.Calls = 1
+			if name == "deaf-to-drain" {
+				w.Calls = 2
+			}
+			w.Attempts = 2
+			r, err := Run(w, Limits{States: 300_000})
+			require.NoError(t, err)
+			if r.Broken != "" && (res.Broken == "" || len(r.Path) < len(res.Path)) {
+				res = r
+			}
+		}
+		t.Logf("%-15s %-8s %2d steps  %s", name, res.World, len(res.Path), res.Broken)
+		assert.NotEmpty(t, res.Broken, "%s: nothing finds it", name)
+		assert.True(t, strings.HasPrefix(res.Broken, found[name]), "%s: %s", name, res.Broken)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -184,6 +184,12 @@
 
 // New starts a router. The error names the setting that cannot be served.
 func New(cfg Config) (*Router, error) {
+	if mutant == "early-resend" {
+		cfg.Settings.Rules.ReleaseWait -= time.Millisecond
+	}
+	if mutant == "attempt-more" {
+		cfg.Settings.Limits.MaxAttempts++
+	}
 	control, err := threadglade.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -257,7 +263,7 @@
 // speaks for its own request.
 func (r *Router) Leave(front Front, id string) {
 	r.do(nil, func([]byte) {
-		if c := r.calls[id]; c != nil && !c.final && (front == nil || front == c.front) {
+		if c := r.calls[id]; c != nil && !c.final && (front == nil || front == c.front) && mutant != "deaf-to-leave" {
 			r.count.Left++
 			c.left = true
 			r.observe(Left, c)
@@ -274,6 +280,9 @@
 		if c != nil && c.standing {
 			r.count.CallerReleases++
 			r.cfg.Trunk.Release(c.attempt, threadglade.Cancelled)
+			if mutant == "release-twice" {
+				r.cfg.Trunk.Release(c.attempt, threadglade.Cancelled)
+			}
 			r.end(c, threadglade.Cancelled, threadglade.CauseNone, false)
 		}
 		if _, known := r.over[id]; !known && c == nil && r.cfg.Stray != nil && r.stray() {
@@ -323,6 +332,11 @@
 func (r *Router) List(list threadglade.ServerList) {
 	r.do(nil, func([]byte) {
 		now, named := r.cfg.Clock(), map[string]bool{}
+		for i := range list.Servers {
+			if mutant == "deaf-to-drain" && list.Servers[i].State == threadglade.Draining {
+				list.Servers[i].State = threadglade.Up
+			}
+		}
 		for _, s := range list.Servers {
 			named[s.ID] = true
 			r.listed(s.ID, s.State, now)
@@ -378,6 +392,9 @@
 func (r *Router) Answered(id string, index int, description []byte) {
 	r.do(description, func(b []byte) {
 		c := r.calls[id]
+		if mutant == "second-answer" && c != nil && c.standing {
+			c.front.Stood(id, b)
+		}
 		if c == nil || !c.out || c.attempt.Index != index {
 			return
 		}
@@ -394,7 +411,7 @@
 // Ended says that an attempt has ended, answered or not.
 func (r *Router) Ended(id string, index int, how threadglade.Outcome, cause threadglade.Cause) {
 	r.do(nil, func([]byte) {
-		if c := r.calls[id]; c != nil && (c.out || c.standing) && c.attempt.Index == index {
+		if c := r.calls[id]; c != nil && (c.out || c.standing) && (c.attempt.Index == index || mutant == "any-end") {
 			r.end(c, how, cause, true)
 		}
 	})
@@ -438,7 +455,7 @@
 	} else {
 		r.observeEnd(AttemptEnded, c, how, cause)
 	}
-	if c.standing && release {
+	if c.standing && release && mutant != "lost-release" {
 		c.front.Released(c.ID, how)
 	}
 	c.out, c.standing = false, false
@@ -448,7 +465,7 @@
 }
 
 func (r *Router) forget(c *call) {
-	if c.final && !c.out && !c.standing && r.calls[c.ID] == c {
+	if c.final && !c.out && !c.standing && r.calls[c.ID] == c && mutant != "table-leak" {
 		delete(r.calls, c.ID)
 		if r.observe(Over, c); c.slot > 0 {
 			r.slots = append(r.slots, c.slot)
@@ -515,7 +532,11 @@
 					why = DeadlinePast
 				}
 				r.observeDecision(Failed, c, c.attempt.Server, a.Why, Event{Why: why})
-				c.front.Failed(c.ID, why)
+				if mutant == "told-refused" {
+					c.front.Refused(c.ID, 0)
+				} else {
+					c.front.Failed(c.ID, why)
+				}
 				r.forget(c)
 			}
 		case threadglade.GiveUp:
@@ -527,7 +548,9 @@
 				}
 			})
 		case threadglade.SetTimer:
-			r.set(timer{at: a.At, kind: timerDue, number: a.Token})
+			if mutant != "lost-timer" {
+				r.set(timer{at: a.At, kind: timerDue, number: a.Token})
+			}
 		case threadglade.Subscribe:
 			// The list is always followed: whoever owns it calls List for every change.
 		}
@@ -580,7 +603,9 @@
 // settle notes that nothing is owed any more.
 func (r *Router) settle(c *call) {
 	c.final = true
-	r.open.Add(-1)
+	if mutant != "miscount" {
+		r.open.Add(-1)
+	}
 }
 
 func (r *Router) send(a threadglade.Send) {
@@ -670,7 +695,9 @@
 		r.overdue(t.call)
 	case timerAttempt:
 		if c := t.call; c.out && c.attempt.Index == int(t.number) {
-			r.cfg.Trunk.GiveUp(c.attempt)
+			if mutant != "no-give-up" {
+				r.cfg.Trunk.GiveUp(c.attempt)
+			}
 			r.end(c, threadglade.TimedOut, threadglade.CauseNone, false)
 		}
 	case timerDue:
@@ -700,6 +727,9 @@
 func (r *Router) At(at time.Duration, f func()) { r.set(timer{at: at, f: f}) }
 
 func (r *Router) set(t timer) {
+	if mutant == "silent-overdue" && (t.kind == timerOverdue || t.kind == timerAttempt) {
+		return
+	}
 	r.mu.Lock()
 	r.order++
 	t.order = r.order
