--- a/cmd/threadglade/explore.go
+++ b/cmd/threadglade/explore.go
@@ -17,7 +17,7 @@
 		Long: "Try the router's own code on every order of events that a small world allows, and check the rules at each step.\n" +
 			"Exit code 0: they hold, or --list; 1: one does not, with a shortest way there, or a bound was reached first; 2: usage."}
 	var world string
-	var list, asJSON bool
+	var list, asJSON, coarse bool
 	var calls, servers, attempts int
 	var limits explore.Limits
 	root.Flags().StringVar(&world, "world", explore.Worlds()[0].Name, "which world")
@@ -26,6 +26,7 @@
 	root.Flags().IntVar(&calls, "calls", 0, "calls in it; 0: as the world has it")
 	root.Flags().IntVar(&servers, "servers", 0, "case servers in it")
 	root.Flags().IntVar(&attempts, "attempts", 0, "attempts that a call may take")
+	root.Flags().BoolVar(&coarse, "coarse", false, "let events come only where time has brought something about, or 0.1 s has gone by: far fewer states")
 	root.Flags().IntVar(&limits.Workers, "workers", 0, "states worked on at once; 0: as many as there are processors")
 	root.Flags().Int64Var(&limits.States, "states", 1_000_000, "end after so many distinct states, which bounds the memory to some 8 kB each; 0: no bound")
 	root.Flags().DurationVar(&limits.Time, "time", 10*time.Minute, "end after about this time; 0: no bound")
@@ -51,6 +52,7 @@
 				*n.into = n.have
 			}
 		}
+		w.Coarse = w.Coarse || coarse
 		res, err := explore.Run(w, limits)
 		if err != nil {
 			return err
--- a/fingerprint.go
+++ b/fingerprint.go
@@ -71,7 +71,9 @@
 	f.number(int64(s.Number), int64(s.State), int64(s.out), int64(s.base), int64(s.failures), int64(s.faults), int64(s.latest), int64(s.trial),
 		int64(s.free), int64(s.total), int64(s.climbing), int64(s.gap), int64(s.admissions), int64(s.answers), int64(s.returns), int64(s.span))
 	f.past(s.Started)
-	f.past(s.passed)
+	if s.out > 0 { // it is compared with when those that are out were sent
+		f.past(s.passed)
+	}
 	f.past(s.goneAt)
 	f.past(s.answered)
 	f.past(s.credited)
@@ -86,10 +88,10 @@
 	f.flags(s.active)
 	f.meter(&s.meter)
 	f.meter(&s.sent)
+	f.number(int64(len(s.overdue)))
 	for _, k := range s.overdue {
 		f.text(k.Call)
 	}
-	f.number(-1)
 }
 
 func (f *form) call(k *call) {
@@ -120,36 +122,36 @@
 	f.real(c.loss)
 	f.flags(c.drawn)
 	f.meter(&c.own)
+	f.number(int64(len(c.servers)))
 	for _, s := range c.servers {
 		f.server(s)
 	}
-	f.number(-1)
-	if c.remembered != nil {
+	if f.flags(c.remembered != nil); c.remembered != nil {
 		f.text(c.remembered.ID)
 	}
-	f.number(-1)
+	f.number(int64(len(c.calls)))
 	for _, id := range slices.Sorted(maps.Keys(c.calls)) {
 		f.call(c.calls[id])
 	}
-	f.number(-1)
+	f.number(int64(len(c.waiting)))
 	for _, k := range c.waiting {
 		f.text(k.Call)
 		f.flags(k.closed)
 	}
-	f.number(-1)
 	for _, name := range slices.Sorted(maps.Keys(c.tenants)) {
 		f.meter(&c.tenants[name].meter)
 	}
+	f.number(int64(len(c.tried)))
 	for _, number := range slices.Sorted(maps.Keys(c.tried)) {
 		f.text(number)
 		f.past(c.tried[number])
 	}
-	f.number(-1)
+	f.number(int64(len(c.tries)))
 	for _, t := range c.tries {
 		f.text(t.number)
 		f.past(t.at)
 	}
-	f.number(-1)
+	f.number(int64(len(c.busy)))
 	for _, number := range slices.Sorted(maps.Keys(c.busy)) {
 		f.text(number)
 		f.until(c.busy[number].until)
--- a/router/clone.go
+++ b/router/clone.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"threadglade.example/threadglade"
 )
 
 // This file owns copies of a Router and the canonical form of its state, with which every order of events can be tried from
@@ -69,6 +71,7 @@
 			number(0)
 		}
 	}
+	number(int64(len(r.calls)))
 	for _, id := range slices.Sorted(maps.Keys(r.calls)) {
 		c := r.calls[id]
 		text(id)
@@ -81,37 +84,25 @@
 		flag(c.left)
 		number(int64(max(0, c.hold-now)))
 	}
-	number(-1)
+	number(int64(len(r.servers)))
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
 		s := r.servers[id]
 		text(id)
 		number(int64(s.state))
-		number(int64(min(now-s.told, r.cfg.Settings.Rules.DrainGrace+rememberFor)))
+		if s.state != threadglade.Up { // of one that is up the next word counts
+			number(int64(min(now-s.told, r.cfg.Settings.Rules.DrainGrace+rememberFor)))
+		}
 	}
-	number(-1)
+	number(int64(len(r.over)))
 	for _, id := range slices.Sorted(maps.Keys(r.over)) {
 		text(id)
 		flag(r.over[id].answered)
 	}
-	number(-1)
 	list := slices.Clone(r.timers)
 	slices.SortFunc(list, func(a, b timer) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order)) })
-	for _, t := range list {
-		id, live := "", true
-		switch t.kind {
-		case timerLapse:
-			live = false // it only forgets
-		case timerDue:
-			id, live = r.control.TimerOf(t.number)
-		default:
-			if live = !t.call.final || t.call.out; live {
-				id = t.call.ID
-			}
-			if t.kind == timerAttempt {
-				live = t.call.out && t.call.attempt.Index == int(t.number)
-			}
-		}
-		if live {
+	for i := range list {
+		t := &list[i]
+		if id, live := r.live(t); live {
 			number(int64(t.at - now))
 			number(int64(t.kind))
 			text(id)
@@ -122,3 +113,34 @@
 
 // Draw has the Controller's random choices drawn from a source instead of from the seed.
 func (r *Router) Draw(from rand.Source) { r.control.Draw(from) }
+
+// live says whether a timer can still change anything, and for which call.
+func (r *Router) live(t *timer) (id string, live bool) {
+	switch t.kind {
+	case timerOther:
+		return "", true
+	case timerLapse: // it only forgets
+		return "", false
+	case timerDue:
+		return r.control.TimerOf(t.number)
+	case timerAttempt:
+		return t.call.ID, t.call.out && t.call.attempt.Index == int(t.number)
+	}
+	return t.call.ID, !t.call.final
+}
+
+// NextLive tells when the next timer is due that can still change anything; false if there is none.
+func (r *Router) NextLive() (at time.Duration, is bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.timers {
+		t := &r.timers[i]
+		if is && t.at >= at {
+			continue
+		}
+		if _, live := r.live(t); live {
+			at, is = t.at, true
+		}
+	}
+	return at, is
+}
