--- a/cmd/threadglade/explore.go
+++ b/cmd/threadglade/explore.go
@@ -4,24 +4,28 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"threadglade.example/threadglade/explore"
+	"threadglade.example/threadglade/internal/explore"
 )
 
 func exploreCommand() *cobra.Command {
 	root := &cobra.Command{Use: "explore", Short: "Try the router's decisions on every order of events in a small world", Args: cobra.NoArgs,
 		Long: "Try the router's own code on every order of events that a small world allows, and check the rules at each step.\n" +
 			"Exit code 0: they hold, or --list; 1: one does not, with a shortest way there, or a bound was reached first; 2: usage."}
-	var world string
+	var world, mutant, draw string
 	var list, asJSON, coarse bool
 	var calls, servers, attempts int
 	var limits explore.Limits
 	root.Flags().StringVar(&world, "world", explore.Worlds()[0].Name, "which world")
-	root.Flags().BoolVar(&list, "list", false, "name the worlds and the properties")
+	root.Flags().StringVar(&mutant, "mutant", "", "build a fault into the router (a build with -tags mutant, which is never to serve)")
+	root.Flags().StringVar(&draw, "draw", "least", "what every random draw gives: least or most")
+	root.Flags().BoolVar(&list, "list", false, "name the worlds, the properties and, in a build that has them, the mutants")
 	root.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	root.Flags().IntVar(&calls, "calls", 0, "calls in it; 0: as the world has it")
 	root.Flags().IntVar(&servers, "servers", 0, "case servers in it")
@@ -33,7 +37,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	root.RunE = func(cmd *cobra.Command, _ []string) error {
 		if list {
-			return put(cmd.OutOrStdout(), asJSON, map[string]any{"worlds": explore.Worlds(), "properties": explore.Properties}, printWorlds)
+			return put(cmd.OutOrStdout(), asJSON, map[string]any{"worlds": explore.Worlds(), "properties": explore.Properties, "mutants": mutants}, printWorlds)
 		}
 		w, err := explore.Find(world)
 		if err != nil {
@@ -53,6 +57,19 @@
 			}
 		}
 		w.Coarse = w.Coarse || coarse
+		switch draw {
+		case "least":
+		case "most":
+			w.Draw = ^uint64(0)
+		default:
+			return usage(fmt.Errorf("--draw: %q is neither least nor most", draw))
+		}
+		if mutant != "" {
+			if mutants[mutant] == "" {
+				return usage(fmt.Errorf("--mutant: this build has no %q; one with -tags mutant names its own by --list", mutant))
+			}
+			mutate(mutant)
+		}
 		res, err := explore.Run(w, limits)
 		if err != nil {
 			return err
@@ -82,6 +99,12 @@
 	for _, p := range explore.Properties {
 		fmt.Fprintln(out, "  "+p)
 	}
+	if len(mutants) > 0 {
+		fmt.Fprintln(out, "\nmutants")
+		for _, name := range slices.Sorted(maps.Keys(mutants)) {
+			fmt.Fprintf(out, "  %-15s %s\n", name, mutants[name])
+		}
+	}
 }
 
 func printResult(out io.Writer, r explore.Result) {
--- a/cmd/threadglade/explore_test.go
+++ b/cmd/threadglade/explore_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"threadglade.example/threadglade/explore"
+	"threadglade.example/threadglade/internal/explore"
 )
 
 // TestExplore: the command explores, tells what it knows, and says with its exit code when a bound was reached or it was called wrongly.
@@ -24,7 +24,7 @@
 	text, code = tool(t, "explore", "--list")
 	require.Zero(t, code)
 	require.Contains(t, text, "one attempt at once: ")
-	for _, args := range [][]string{{"--world", "moon"}, {"--calls", "99"}, {"--colour"}, {"more"}} {
+	for _, args := range [][]string{{"--world", "moon"}, {"--draw", "some"}, {"--mutant", "moon"}, {"--calls", "99"}, {"--colour"}, {"more"}} {
 		text, code = tool(t, append([]string{"explore"}, args...)...)
 		require.Equal(t, exitUsage, code, "%v: %s", args, text)
 	}
--- a/explore/model.go
+++ b/internal/explore/model.go
@@ -28,6 +28,7 @@
 	Lates    int  // timers that may be served 3 ms late
 	Idles    int  // times that 1.1 s may pass with nothing to do
 	Cold     bool // servers have just started
+	Unlisted int  // of the servers, that the list does not name at first
 	Endings  []Ending
 	Draw     uint64 // what every random draw gives: 0 the least, ^0 the most
 	Rules    Rules
@@ -58,6 +59,7 @@
 		{Name: "drain", About: "a list that drains, removes and restarts servers while calls are out", Calls: 2, Servers: 2, Attempts: 3, Lists: 1, Idles: 1, Lates: 1, Endings: few},
 		{Name: "small", About: "every way in which a set-up may end", Calls: 2, Servers: 2, Attempts: 2, Lates: 1, Endings: endings},
 		{Name: "cancel", About: "callers that leave and release, servers that answer late and twice", Calls: 2, Servers: 2, Attempts: 2, Leave: true, Release: true, Stale: true, Lates: 1, Endings: few},
+		{Name: "list", About: "a server that the list names only later, or never", Calls: 2, Servers: 2, Attempts: 3, Unlisted: 1, Lists: 1, Lates: 1, Endings: few},
 		{Name: "cold", About: "servers that have just started", Calls: 2, Servers: 2, Attempts: 2, Cold: true, Lists: 1, Lates: 1, Endings: few},
 	}
 }
@@ -159,7 +161,7 @@
 	m.r = r
 	r.Draw(constant(w.Draw))
 	for i := range m.servers {
-		m.servers[i].listed = true
+		m.servers[i].listed = i < w.Servers-w.Unlisted
 		if w.Cold {
 			m.servers[i].started = began - time.Second
 		}
@@ -364,7 +366,7 @@
 		for i := range m.servers {
 			for _, to := range []threadglade.ServerState{threadglade.Up, threadglade.Draining, threadglade.Removed} {
 				s := m.servers[i]
-				if to == s.state && to != threadglade.Up {
+				if to == s.state && to != threadglade.Up || !s.listed && to != threadglade.Up {
 					continue
 				}
 				add(func(m *model) {
@@ -375,7 +377,7 @@
 					if to == threadglade.Up { // it is back, or another process
 						s.started = m.now
 					}
-					s.state = to
+					s.state, s.listed = to, true
 					m.lists--
 					m.list()
 				}, "the list has s%d in state %d", i, to)
@@ -446,6 +448,9 @@
 			m.breaks("nothing is forgotten: %s waits and no timer is set before its deadline", callID(i))
 		}
 	}
+	if n := m.r.Counters(); n.Stopped+n.Overdue+n.Faults > 0 {
+		m.breaks("the backstop is not needed: the router stopped %d sends, answered %d requests itself and caught %d faults", n.Stopped, n.Overdue, n.Faults)
+	}
 	if have := m.r.Open(); have != owed {
 		m.breaks("tables: %d answers are owed, the router counts %d", owed, have)
 	}
@@ -479,7 +484,11 @@
 		}
 	}
 	for _, s := range m.servers {
-		b = append(b, byte(s.state))
+		word := byte(s.state)
+		if !s.listed {
+			word = 0xff
+		}
+		b = append(b, word)
 		if s.state != threadglade.Up {
 			b = binary.AppendVarint(b, int64(min(m.now-s.told, m.rules.DrainGrace+1)))
 		}
@@ -502,6 +511,7 @@
 	"a release reaches the server once: and only of a call that stands",
 	"a release reaches the caller once: and only of a call that stands",
 	"nothing is forgotten: a call that waits has a timer set before its deadline",
+	"the backstop is not needed: the Controller keeps the rules by itself, and does not fail",
 	"tables: the router counts the answers that are owed",
 	"tables return to zero: no call is held when nothing is owed and nothing stands",
 }
--- a/explore/mutant_test.go
+++ b/internal/explore/mutant_test.go
@@ -18,8 +18,10 @@
 var found = map[string]string{
 	"early-resend": "the wait before a resend", "attempt-more": "attempts are bounded", "deaf-to-leave": "no answer over an attempt",
 	"no-give-up": "no answer over an attempt", "any-end": "no answer over an attempt", "lost-release": "a release reaches the caller once",
-	"lost-timer": "an answer in time", "table-leak": "tables return to zero", "miscount": "tables", "told-refused": "what may have run",
+	"lost-timer": "the backstop is not needed", "table-leak": "tables return to zero", "miscount": "tables", "told-refused": "what may have run",
 	"deaf-to-drain": "nothing new after a drain", "second-answer": "one final answer", "release-twice": "a release reaches the server once",
+	"send-twice": "one attempt at once", "wrong-server": "only listed servers", "give-up-twice": "an attempt is given up once", "told-twice": "a release reaches the caller once",
+	"left-told": "one final answer", "left-out": "no answer over an attempt", "panic": "the backstop is not needed",
 	"silent-overdue": "nothing is forgotten",
 }
 
--- a/router/mutant_on.go
+++ b/router/mutant_on.go
@@ -23,5 +23,12 @@
 	"deaf-to-drain":  "a draining server counts as up",
 	"second-answer":  "a further answer of a server is told, too",
 	"release-twice":  "a caller's release is sent twice",
+	"send-twice":     "an attempt is sent twice",
+	"wrong-server":   "every attempt goes to s1",
+	"give-up-twice":  "an attempt whose time is up is given up twice",
+	"told-twice":     "a server's release reaches the caller twice",
+	"left-told":      "a caller that has left is told of a failure",
+	"left-out":       "an attempt stays out when its caller leaves",
+	"panic":          "the Controller fails on an attempt's end",
 	"silent-overdue": "neither the end of an attempt's time nor the deadline is watched",
 }
--- a/router/router.go
+++ b/router/router.go
@@ -305,9 +305,14 @@
 
 func (r *Router) leave(c *call) {
 	r.settle(c)
+	if mutant == "left-told" && c.left {
+		c.front.Failed(c.ID, GivenUp)
+	}
 	r.tell(threadglade.CallerGone{Call: c.ID})
 	if c.out {
-		r.cfg.Trunk.GiveUp(c.attempt)
+		if mutant != "left-out" {
+			r.cfg.Trunk.GiveUp(c.attempt)
+		}
 		r.end(c, threadglade.Cancelled, threadglade.CauseNone, false)
 	}
 	r.forget(c)
@@ -457,6 +462,9 @@
 	}
 	if c.standing && release && mutant != "lost-release" {
 		c.front.Released(c.ID, how)
+		if mutant == "told-twice" {
+			c.front.Released(c.ID, how)
+		}
 	}
 	c.out, c.standing = false, false
 	r.tell(threadglade.Ended{Call: c.ID, Attempt: c.attempt.Index, Server: c.attempt.Server, Outcome: how,
@@ -566,6 +574,9 @@
 			r.cfg.Log.Error().Str("event", "controller_failed").Msgf("controller failed on %T: %v", event, p)
 		}
 	}()
+	if _, is := event.(threadglade.Ended); is && mutant == "panic" {
+		panic(mutant)
+	}
 	return r.control.Handle(r.cfg.Clock(), event)
 }
 
@@ -640,7 +651,13 @@
 	r.count.Attempts++
 	r.observeDecision(Sent, c, c.attempt.Server, a.Why, Event{})
 	r.set(timer{at: deadline, kind: timerAttempt, call: c, number: int64(c.attempt.Index)})
+	if mutant == "wrong-server" {
+		c.attempt.Server = "s1"
+	}
 	r.cfg.Trunk.Send(c.attempt)
+	if mutant == "send-twice" {
+		r.cfg.Trunk.Send(c.attempt)
+	}
 }
 
 // forbidden names the rule that a send would break; the attempt is already counted.
@@ -698,6 +715,9 @@
 			if mutant != "no-give-up" {
 				r.cfg.Trunk.GiveUp(c.attempt)
 			}
+			if mutant == "give-up-twice" {
+				r.cfg.Trunk.GiveUp(c.attempt)
+			}
 			r.end(c, threadglade.TimedOut, threadglade.CauseNone, false)
 		}
 	case timerDue:
