Test that a request's every column comes back, and count a block that a cut reads once

A second reading found no test of the path that hands the caller's address to the writer as figures: TestRequest has IPv4, IPv6, mapped and untold ones, and fails without the unmapping; TestNoAllocation has a caller now, which allocated before that path. trace cut by class told that it had read 2 of 1 blocks, since it looks at some twice; it counts each once, with a bitmap.

--- a/internal/traceio/tools.go
+++ b/internal/traceio/tools.go
@@ -7,6 +7,8 @@
 	"io"
 	"slices"
 
+	"github.com/RoaringBitmap/roaring/v2"
+
 	"threadglade.example/threadglade/internal/durable"
 	"threadglade.example/threadglade/trace"
 )
@@ -46,6 +48,8 @@
 
 func (t *File) cut(w *Writer, s trace.Selection, c *Cut) error {
 	p := trace.NewPicker(s)
+	read := roaring.New() // a selection of calls reads some blocks twice
+	defer func() { c.Blocks = int(read.GetCardinality()) }()
 	blocks := t.Index.Find(s)
 	narrow := s != trace.Selection{From: s.From, To: s.To}
 	if narrow { // the calls first, then all that they did
@@ -54,7 +58,7 @@
 			if err != nil {
 				return err
 			}
-			c.Blocks++
+			read.Add(n)
 			for i := range list {
 				p.Note(&list[i])
 			}
@@ -77,7 +81,7 @@
 			if err != nil {
 				return err
 			}
-			c.Blocks++
+			read.Add(n)
 			for i := range list {
 				if p.Take(&list[i]) && p.Missing(&list[i]) {
 					missing[list[i].S[trace.Call]] = true
@@ -94,7 +98,7 @@
 		if err != nil {
 			return err
 		}
-		c.Blocks++
+		read.Add(uint32(n))
 		for i := range list {
 			if r := &list[i]; r.Kind == trace.Request && missing[r.S[trace.Call]] {
 				delete(missing, r.S[trace.Call])
--- a/internal/traceio/traceio_test.go
+++ b/internal/traceio/traceio_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -201,8 +202,9 @@
 
 	// By class, server, outcome and call: whole calls.
 	for _, s := range []trace.Selection{{Class: "voice"}, {Server: "s1"}, {Outcome: "concluded", Class: "data"}, {Call: records(77)[0].S[trace.Call]}} {
-		_, err := CutFile(f, "x.tgt", "d.tgt", s)
+		c, err := CutFile(f, "x.tgt", "d.tgt", s)
 		require.NoError(t, err)
+		require.LessOrEqual(t, c.Blocks, c.Of)
 		seen := map[string]int{}
 		for _, r := range readAll(t, f, "d.tgt", trace.Selection{}) {
 			seen[r.S[trace.Call]]++
@@ -298,7 +300,7 @@
 		e.Kind, e.Server = kind, server
 		g.r.Observe(e)
 	}
-	e.Class, e.Tenant, e.Number = "voice", "lda", id
+	e.Class, e.Tenant, e.Number, e.Caller = "voice", "lda", id, netip.AddrFrom4([4]byte{10, 4, 7, 9})
 	tell(router.Arrived, "")
 	tell(router.Sent, "s0")
 	tell(end, "s0")
@@ -463,6 +465,33 @@
 	require.Equal(t, 1, countKind(list, trace.Turn))
 }
 
+// TestRequest: every column of a request comes back, with the caller's address as it was.
+func TestRequest(t *testing.T) {
+	g := record(t, func(*Options) {})
+	callers := []string{"10.4.7.9", "2001:db8::7", "::ffff:10.4.7.9", "", "10.4.7.9"}
+	for i, text := range callers {
+		e := router.Event{Kind: router.Arrived, At: g.clock(), Call: mixed(i + 1), Slot: uint32(i + 1), Class: "voice", Tenant: "lda", Number: "4711", Identity: "spiffe://b.example/7",
+			Front: "callcontrol", Deadline: g.clock() + 3*time.Second, Destination: 2, Retry: true}
+		if text != "" {
+			e.Caller = netip.MustParseAddr(text)
+		}
+		g.r.Observe(e)
+	}
+	require.NoError(t, g.r.Close())
+	list, _ := g.files(t, "trace")
+	require.Len(t, list, 1+len(callers))
+	for i, r := range list[1:] {
+		require.Equal(t, trace.Request, r.Kind)
+		for column, want := range map[trace.Text]string{trace.Call: mixed(i + 1), trace.Class: "voice", trace.Tenant: "lda", trace.Number: "4711", trace.Identity: "spiffe://b.example/7",
+			trace.Front: "callcontrol", trace.Caller: callers[i], trace.Server: ""} {
+			require.Equal(t, want, r.S[column], column.String())
+		}
+		for column, want := range map[trace.Figure]int64{trace.DeadlineMs: 3000, trace.Destination: 2, trace.Retry: 1} {
+			require.Equal(t, want, r.N[column], column.String())
+		}
+	}
+}
+
 func TestSettings(t *testing.T) {
 	for text, want := range map[string]string{
 		"(trace)":                                        "directory or flight is wanted",
