Open a door for operators: ready, drain and resume, beside callers that say nothing

Change: lifecycle (pure) holds the state and says which connections are closed when; internal/mgmt speaks HTTP/1.1 on the loop in an epoll set of its own that is looked into within a turn; the SIP front closes by Finish, so that the last answer can be read. Ruled out: close without a half close, which resets over unread input.

--- a/cmd/threadglade/serve.go
+++ b/cmd/threadglade/serve.go
@@ -71,6 +71,9 @@
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: listen %s, name service %s, %d servers at list %d, %d classes, %d routers\n",
 				c.Name, c.Listen, c.Resolver, len(c.Servers), c.Cursor, len(c.Settings.Classes), c.Settings.Proxies)
+			if c.Mgmt.IsValid() {
+				fmt.Fprintf(cmd.OutOrStdout(), "operators' door on %s\n", c.Mgmt)
+			}
 			p.Describe(cmd.OutOrStdout())
 			return nil
 		}}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -49,10 +49,12 @@
 	buf     []byte  // what all connections are read into; only unfinished messages are kept apart
 	again   []*Conn // have whole messages left over from their turn
 	sources map[int32]source
+	first   *Loop // urgent sources, looked into before and within turns; nil while there are none
 	closing []int // closed once the batch is over, so that no number is reused within it
 	mu      sync.Mutex
 	posted  []func()
 	stop    bool
+	outer   *Loop // of a set of urgent sources: the loop that it is in
 	gate    Gate
 	corked  []*Conn  // have bytes of this turn
 	waiting []parcel // of earlier turns, oldest first
@@ -108,6 +110,49 @@
 // source is anything with a descriptor in the set.
 type source interface{ ready(events uint32) }
 
+// urgentEvery events the loop looks whether an urgent source has something.
+const urgentEvery = 8
+
+// watch waits for a descriptor that is none of the loop's own kinds.
+type watch func(events uint32)
+
+func (w watch) ready(events uint32) { w(events) }
+
+// urgent is the set of urgent sources: an epoll set within the loop's own.
+func (l *Loop) urgent() (*Loop, error) {
+	if l.first == nil {
+		epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+		if err != nil {
+			return nil, fmt.Errorf("epoll: %w", err)
+		}
+		l.first = &Loop{epoll: epoll, wake: l.wake, spare: -1, outer: l, sources: map[int32]source{}, buf: make([]byte, readMost+readStep)}
+		if err := l.add(epoll, unix.EPOLLIN, watch(func(uint32) { l.attend() })); err != nil {
+			return nil, err
+		}
+	}
+	return l.first, nil
+}
+
+// attend serves what is urgent.
+func (l *Loop) attend() {
+	var events [urgentEvery]unix.EpollEvent
+	n, _ := unix.EpollWait(l.first.epoll, events[:], 0)
+	for _, e := range events[:max(n, 0)] {
+		if s := l.first.sources[e.Fd]; s != nil {
+			s.ready(e.Events)
+		}
+	}
+	again := l.first.again
+	l.first.again = nil
+	for _, c := range again {
+		c.more = false
+		if !c.closed && !c.finish {
+			c.take(copy(c.l.buf, c.in))
+		}
+	}
+	l.first.reap()
+}
+
 // New opens an empty loop.
 func New() (*Loop, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
@@ -126,6 +171,10 @@
 
 // Post has f called on the loop. It may be called from any goroutine.
 func (l *Loop) Post(f func()) {
+	if l.outer != nil {
+		l.outer.Post(f)
+		return
+	}
 	l.mu.Lock()
 	l.posted = append(l.posted, f)
 	l.mu.Unlock()
@@ -153,7 +202,10 @@
 		if l.stop {
 			break
 		}
-		if len(l.again) > 0 {
+		if l.first != nil && len(l.first.again) > 0 {
+			l.attend()
+		}
+		if len(l.again) > 0 || l.first != nil && len(l.first.again) > 0 {
 			wait = 0
 		}
 		// Rounded up, or a timer due in half a millisecond would spin.
@@ -162,14 +214,20 @@
 		if err != nil && err != unix.EINTR {
 			return fmt.Errorf("epoll wait: %w", err)
 		}
-		for _, e := range events[:max(n, 0)] {
+		for i, e := range events[:max(n, 0)] {
+			if l.first != nil && i%urgentEvery == urgentEvery-1 {
+				l.attend()
+			}
 			if s := l.sources[e.Fd]; s != nil {
 				s.ready(e.Events)
 			}
 		}
 		again := l.again
 		l.again = nil
-		for _, c := range again {
+		for i, c := range again {
+			if l.first != nil && i%urgentEvery == urgentEvery-1 {
+				l.attend()
+			}
 			c.more = false
 			if !c.closed && !c.finish {
 				c.take(copy(l.buf, c.in))
@@ -191,6 +249,10 @@
 
 // Close closes every descriptor of a loop that has stopped.
 func (l *Loop) Close() {
+	if l.first != nil {
+		l.first.Close()
+		delete(l.sources, int32(l.first.epoll))
+	}
 	for fd := range l.sources {
 		unix.Close(int(fd))
 	}
@@ -203,6 +265,9 @@
 }
 
 func (l *Loop) reap() {
+	if l.first != nil {
+		l.first.reap()
+	}
 	for _, fd := range l.closing {
 		unix.Close(fd)
 	}
@@ -248,11 +313,36 @@
 
 // Listen accepts connections on an address; accept gives each its handler, or nil to have it closed.
 func (l *Loop) Listen(addr netip.AddrPort, accept func(*Conn) Handler) (*Listener, error) {
+	return l.listen(addr, false, accept)
+}
+
+// ListenUrgent is Listen for connections that are served before all others, also in the middle of a turn that is busy with those.
+// No gate holds them back.
+func (l *Loop) ListenUrgent(addr netip.AddrPort, accept func(*Conn) Handler) (*Listener, error) {
+	first, err := l.urgent()
+	if err != nil {
+		return nil, err
+	}
+	return first.listen(addr, false, accept)
+}
+
+// ListenShared is Listen on an address at which another process of the same user may listen, too (SO_REUSEPORT).
+func (l *Loop) ListenShared(addr netip.AddrPort, accept func(*Conn) Handler) (*Listener, error) {
+	return l.listen(addr, true, accept)
+}
+
+func (l *Loop) listen(addr netip.AddrPort, shared bool, accept func(*Conn) Handler) (*Listener, error) {
 	fd, err := socket(addr, unix.SOCK_STREAM)
 	if err != nil {
 		return nil, err
 	}
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if shared {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+			unix.Close(fd)
+			return nil, fmt.Errorf("share %s: %w", addr, err)
+		}
+	}
 	if err := unix.Bind(fd, sockaddr(addr)); err != nil {
 		unix.Close(fd)
 		return nil, fmt.Errorf("bind %s: %w", addr, err)
@@ -277,14 +367,18 @@
 		if err == unix.EINTR || err == unix.ECONNABORTED {
 			continue
 		}
-		if (err == unix.EMFILE || err == unix.ENFILE) && ln.l.spare >= 0 {
+		home := ln.l
+		if home.outer != nil {
+			home = home.outer
+		}
+		if (err == unix.EMFILE || err == unix.ENFILE) && home.spare >= 0 {
 			// Left in the backlog it would wake the loop for ever and its client would hear nothing.
-			unix.Close(ln.l.spare)
-			ln.l.spare = -1
+			unix.Close(home.spare)
+			home.spare = -1
 			if fd, _, err := unix.Accept(ln.fd); err == nil {
 				unix.Close(fd)
 			}
-			ln.l.save()
+			home.save()
 			continue
 		}
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,10 +25,12 @@
 	"threadglade.example/threadglade/internal/durable"
 	"threadglade.example/threadglade/internal/ledgerio"
 	"threadglade.example/threadglade/internal/loop"
+	"threadglade.example/threadglade/internal/mgmt"
 	"threadglade.example/threadglade/internal/registry"
 	"threadglade.example/threadglade/internal/sip"
 	"threadglade.example/threadglade/internal/traceio"
 	"threadglade.example/threadglade/internal/wire"
+	"threadglade.example/threadglade/lifecycle"
 	"threadglade.example/threadglade/router"
 )
 
@@ -45,6 +47,7 @@
 type Config struct {
 	Name     string
 	Listen   netip.AddrPort
+	Mgmt     netip.AddrPort // the operators' door; the zero value: none
 	Resolver netip.AddrPort
 	Seed     uint64
 	MemoryMB int
@@ -60,11 +63,12 @@
 	FS      durable.FS // nil: the operating system's
 }
 
-// ReadConfig reads the platform's configuration; listen, if not empty, overrides the address in it.
-func ReadConfig(text []byte, listen string) (Config, error) {
+// ReadConfig reads the platform's configuration; listen and mgmt, if not empty, override the addresses in it.
+func ReadConfig(text []byte, listen, mgmt string) (Config, error) {
 	var raw struct {
 		Name   string `json:"name"`
 		Listen string `json:"listen"`
+		Mgmt   string `json:"mgmt"`
 		Seed   string `json:"seed"`
 		Limits struct {
 			MemoryMB float64 `json:"memory_mb"`
@@ -103,6 +107,17 @@
 	if c.Listen, err = netip.ParseAddrPort(listen); err != nil {
 		return c, fmt.Errorf("listen: %w", err)
 	}
+	if mgmt == "" {
+		mgmt = raw.Mgmt
+	}
+	if mgmt != "" {
+		if c.Mgmt, err = netip.ParseAddrPort(mgmt); err != nil {
+			return c, fmt.Errorf("mgmt: %w", err)
+		}
+		if c.Mgmt == c.Listen && c.Mgmt.Port() != 0 {
+			return c, fmt.Errorf("mgmt: %s is where callers connect", c.Mgmt)
+		}
+	}
 	if c.Resolver, err = netip.ParseAddrPort(raw.Resolver); err != nil {
 		return c, fmt.Errorf("resolver: %w", err)
 	}
@@ -131,7 +146,7 @@
 	if err != nil {
 		return Config{}, err
 	}
-	c, err := ReadConfig(text, os.Getenv("NODE_LISTEN"))
+	c, err := ReadConfig(text, os.Getenv("NODE_LISTEN"), os.Getenv("NODE_MGMT"))
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
@@ -153,6 +168,8 @@
 	trunk  *sip.Trunk
 	names  *registry.Client
 	listen *loop.Listener
+	life   *lifecycle.Process
+	door   *mgmt.Door        // nil where it is off
 	ledger *ledgerio.Carrier // nil where it is off
 	trace  *traceio.Recorder // nil where it is off
 }
@@ -181,7 +198,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{Loop: l, clock: clock, log: log, config: c}
+	n := &Node{Loop: l, clock: clock, log: log, config: c, life: &lifecycle.Process{}}
 	n.trunk = sip.NewTrunk(sip.TrunkConfig{Loop: l, Clock: clock, ConnectTimeout: c.ConnectTimeout, Free: c.Free,
 		Total: c.Total, Log: log, Loads: c.Product.Trace != nil})
 	rc := router.Config{Settings: c.Settings, Seed: c.Seed, Clock: clock, Trunk: n.trunk, Log: log,
@@ -203,7 +220,7 @@
 	if n.ledger != nil {
 		n.tickLedger()
 	}
-	n.front = sip.NewFront(sip.FrontConfig{Router: n.Router, Clock: clock, Sockets: c.Sockets, Settings: c.Settings})
+	n.front = sip.NewFront(sip.FrontConfig{Router: n.Router, Clock: clock, Sockets: c.Sockets, Settings: c.Settings, Life: n.life})
 	n.front.Start()
 	n.trunk.Start(n.Router)
 	if n.trace != nil {
@@ -219,13 +236,51 @@
 		}); err != nil {
 		return nil, err
 	}
+	n.life.Listed()
 	if n.listen, err = l.Listen(c.Listen, n.front.Accept); err != nil {
 		return nil, err
 	}
+	n.life.Listening()
+	if c.Mgmt.IsValid() {
+		if n.door, err = mgmt.Open(mgmt.Config{Loop: l, Addr: c.Mgmt, Clock: clock, At: n.Router.At, Process: operated{n}, Log: log}); err != nil {
+			return nil, err
+		}
+		log.Info().Str("event", "mgmt_serving").Stringer("address", n.door.Addr()).Msgf("operators' door on %s", n.door.Addr())
+	}
 	log.Info().Str("event", "serving").Stringer("address", n.listen.Addr()).Msgf("serving on %s: %d servers known, list %d, name service %s", n.listen.Addr(), len(c.Servers), c.Cursor, c.Resolver)
 	return n, nil
 }
 
+// operated is the node as its operators' door knows it.
+type operated struct{ n *Node }
+
+func (o operated) Ready() (bool, string) { return o.n.life.Ready(), o.n.life.State().String() }
+
+func (o operated) Drain() error {
+	changed, err := o.n.life.Drain(o.n.clock())
+	if changed {
+		o.n.log.Info().Str("event", "draining").Int("open", o.n.Router.Open()).
+			Msgf("told to drain: %d requests open, %d connections", o.n.Router.Open(), o.n.front.Counters().Open)
+	}
+	return err
+}
+
+func (o operated) Resume() error {
+	changed, err := o.n.life.Resume()
+	if changed {
+		o.n.log.Info().Str("event", "resumed").Msg("told to resume: ready again")
+	}
+	return err
+}
+
+// Door is where operators call; the zero value where they cannot.
+func (n *Node) Door() netip.AddrPort {
+	if n.door == nil {
+		return netip.AddrPort{}
+	}
+	return n.door.Addr()
+}
+
 // Addr is where callers connect.
 func (n *Node) Addr() netip.AddrPort { return n.listen.Addr() }
 
@@ -274,6 +329,7 @@
 // Shutdown ends Run once nothing is owed, and not before callers have had time to turn elsewhere.
 func (n *Node) Shutdown() {
 	n.log.Info().Str("event", "ending").Msgf("told to end: %d requests open", n.Router.Open())
+	n.life.End(n.clock())
 	earliest := n.clock() + stayFor
 	latest := earliest + flushFor
 	var look func()
@@ -303,7 +359,7 @@
 	n.names.Known(c.Cursor, c.Servers)
 	n.front.Hold(c.Sockets)
 	old := n.config
-	for name, same := range map[string]bool{"name": c.Name == old.Name, "listen": c.Listen == old.Listen,
+	for name, same := range map[string]bool{"name": c.Name == old.Name, "listen": c.Listen == old.Listen, "mgmt": c.Mgmt == old.Mgmt,
 		"seed": c.Seed == old.Seed, "settings": reflect.DeepEqual(c.Settings, old.Settings) &&
 			c.ConnectTimeout == old.ConnectTimeout && c.Free == old.Free && c.Total == old.Total} {
 		if !same {
@@ -346,6 +402,9 @@
 func (n *Node) Counters() string {
 	f, t, d := n.front.Counters(), n.trunk.Counters(), n.names.Counters()
 	text := fmt.Sprintf("%v front=%+v trunk=%+v names=%+v", n.Router.Counters(), f, t, d)
+	if n.door != nil {
+		text += fmt.Sprintf(" mgmt=%+v", n.door.Counters())
+	}
 	if n.second != nil {
 		text += fmt.Sprintf(" callcontrol=%+v", n.second.Counters())
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,7 +22,7 @@
 
 // Later events of the known list change earlier ones, and an address may pass to another server.
 func TestConfig(t *testing.T) {
-	c, err := ReadConfig([]byte(config), "127.0.0.1:9")
+	c, err := ReadConfig([]byte(config), "127.0.0.1:9", "")
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:9", c.Listen.String())
 	require.Equal(t, 3, len(c.Servers))
@@ -33,7 +33,7 @@
 		"listen": {`"127.0.0.1:5060"`, `"nowhere"`}, "resolver": {`"127.0.0.1:8600"`, `"x"`}, "seed": {"8c1f", "zz"},
 		"known": {"terminating", "dozing"}, "settings": {`"maxAttempts":6`, `"maxAttempts":0`},
 	} {
-		_, err := ReadConfig([]byte(strings.Replace(config, change[0], change[1], 1)), "")
+		_, err := ReadConfig([]byte(strings.Replace(config, change[0], change[1], 1)), "", "")
 		require.ErrorContains(t, err, field)
 	}
 }
--- /dev/null
+++ b/internal/scenario/operations_test.go
@@ -0,0 +1,177 @@
+package scenario
+
+import (
+	"fmt"
+	"testing"
+)
+
+// served is a router with a door, a server and a caller.
+const served = `
+s0 open number=0
+start door
+a open
+`
+
+// crowd opens connections name1, name2, ... and has each do the same.
+func crowd(name string, n int, what string) (script string) {
+	for i := range n {
+		script += fmt.Sprintf("%s%d open\n%s%d %s\n", name, i+1, name, i+1, what)
+	}
+	return script
+}
+
+// What operators ask of a running router.
+func TestOperations(t *testing.T) {
+	playAll(t, map[string]string{
+		"the door answers each call and ends its connection": served + `
+o1 ask GET /-/ready
+o1 expect 200 serving
+o1 ask HEAD /-/ready
+o1 expect 200
+o1 ask GET /-/drain
+o1 expect 405 PUT
+o1 ask DELETE /-/ready
+o1 expect 405 GET, HEAD
+o1 ask GET /nowhere
+o1 expect 404
+o1 ask GET http://door/-/ready?verbose=1
+o1 expect 200`,
+
+		"a call may come in pieces and with a body, and what follows it is no second call": served + `
+o1 open
+o1 raw "PUT /-/dr"
+wait 100ms
+o1 raw "ain HTTP/1.1\r\nContent-Le"
+wait 100ms
+o1 raw "ngth: 5\r\n\r\nab"
+o2 ask GET /-/ready
+o2 expect 200
+o1 raw "cdePUT /-/resume HTTP/1.1\r\n\r\n"
+o1 expect 200 draining
+o2 ask GET /-/ready
+o2 expect 503 draining
+o3 open
+o3 raw "PUT /-/resume HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+o3 expect 100
+o3 raw "x"
+o3 expect 200 serving
+o2 ask GET /-/ready
+o2 expect 200`,
+
+		"what cannot be read is refused": served + `
+o1 open
+o1 raw "\x16\x03\x01\x02\x00"
+o1 expect 400
+o1 open
+o1 raw "GET /-/ready\r\n\r\n"
+o1 expect 400
+o1 open
+o1 raw "GET /-/ready HTTP/1.1\nHost: x\n\n"
+o1 expect 400
+o1 open
+o1 raw "GET /-/ready HTTP/1.1\r\nno colon\r\n\r\n"
+o1 expect 400
+o1 open
+o1 raw "PUT /-/drain HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"
+o1 expect 400
+o1 open
+o1 raw "PUT /-/drain HTTP/1.1\r\nContent-Length: -1\r\n\r\n"
+o1 expect 400
+o1 open
+o1 raw "PUT /-/drain HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n"
+o1 expect 413
+o1 open
+o1 raw "PUT /-/drain HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+o1 expect 411
+o1 open
+o1 raw "GET /-/ready HTTP/2.0\r\n\r\n"
+o1 expect 505
+o1 open
+o1 raw "GET /-/ready HTTP/1.1\r\nX: ` + large + `"
+o1 expect 431
+o1 ask GET /-/ready
+o1 expect 200`,
+
+		"callers without a whole call keep nobody out and are ended": served + crowd("o", 60, `raw "GET /-/rea"`) + `
+o99 ask GET /-/ready
+o99 expect 200
+wait 4200ms
+o60 expect closed`,
+
+		// Idle connections go one after the other once callers have somewhere else to go; calls that stand go on.
+		"a drain lets idle connections go": served + `
+b open
+a send INVITE c1
+s0 expect INVITE c1
+s0 send 200 INVITE c1
+a expect 200 INVITE c1
+b send OPTIONS b1
+b expect 200 OPTIONS b1
+o1 ask PUT /-/drain
+o1 expect 200
+wait 300ms
+a send OPTIONS a2
+a expect 200 OPTIONS a2
+b expect silence
+wait 1400ms
+a expect closed
+b expect closed
+o1 ask PUT /-/drain
+o1 expect 200
+o1 ask PUT /-/resume
+o1 expect 200
+o1 ask GET /-/ready
+o1 expect 200
+c open
+s0 send BYE c1 Reason=Q.850;cause=16
+c expect BYE c1
+c expect silence
+wait 3s
+c expect silence`,
+
+		"a drained router answers what is open, and then lets go": `
+s0 open number=0
+s1 open number=1
+start door
+a open
+b open
+a send INVITE c1
+s0 expect INVITE c1
+o1 ask PUT /-/drain
+o1 expect 200
+b send INVITE c2
+s0 expect INVITE c2
+s0 send 200 INVITE c2
+b expect 200 INVITE c2
+wait 1s
+a send INVITE c3 Routing-Data=dest:1
+s1 expect INVITE c3
+s1 send 200 INVITE c3
+a expect 200 INVITE c3
+a expect silence
+wait 1s
+a send INVITE c4
+a expect 503 INVITE c4 Come-Back-Ms=100
+s0 send 200 INVITE c1
+a expect 200 INVITE c1
+a expect closed
+b expect closed`,
+
+		"a drain ended half way closes nothing more": served + `
+a send INVITE c1
+s0 expect INVITE c1
+o1 ask PUT /-/drain
+o1 expect 200
+wait 2s
+o1 ask PUT /-/resume
+o1 expect 200
+s0 send 200 INVITE c1
+a expect 200 INVITE c1
+a send INVITE c2
+s0 expect INVITE c2
+s0 send 200 INVITE c2
+a expect 200 INVITE c2
+wait 3s
+a expect silence`,
+	})
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -5,6 +5,7 @@
 //
 //	start [flags]            start the router with the servers opened so far
 //	NAME open [number=N at=sM] sN: a case server listens; others: a caller connects; wN: a WebSocket (id=, origin=, mute)
+//	oN: the operators' door; "oN ask METHOD PATH" opens and asks, "oN expect STATUS [text]" wants that and the end
 //	NAME send MESSAGE        SIP: METHOD or STATUS METHOD, call or #id, Header=Value..., Body=text; wN: JSON
 //	NAME raw "text"          these bytes (Go syntax)
 //	NAME expect MESSAGE      the next message is this one; values match as parts; "silence", "closed"
@@ -23,7 +24,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -191,6 +194,13 @@
 	switch verb {
 	case "open":
 		return p.open(rest)
+	case "ask":
+		method, _, _ := strings.Cut(rest, " ")
+		err := p.open(method)
+		if err == nil {
+			err = p.write([]byte(rest + " HTTP/1.1\r\nHost: door\r\n\r\n"))
+		}
+		return err
 	case "send":
 		return p.send(rest)
 	case "raw":
@@ -262,9 +272,13 @@
 	if strings.Contains(flags, "sockets=") {
 		fmt.Sscanf(flags[strings.Index(flags, "sockets="):], "sockets=%d", &sockets)
 	}
-	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"memory_mb":192,"sockets":%d},
+	door := ""
+	if strings.Contains(flags, "door") {
+		door = `"mgmt":"127.0.0.1:0",`
+	}
+	config := fmt.Sprintf(`{"name":"n0",`+door+`"listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"memory_mb":192,"sockets":%d},
 		"resolver":%q,"known":%s,"settings":%s}`, sockets, w.names.Addr(), known, settings)
-	c, err := node.ReadConfig([]byte(config), "")
+	c, err := node.ReadConfig([]byte(config), "", "")
 	if err != nil {
 		return err
 	}
@@ -339,6 +353,41 @@
 
 func (p *peer) web() bool { return p.name[0] == 'w' }
 
+func (p *peer) operator() bool { return p.name[0] == 'o' }
+
+// readHTTP reads an answer of the operators' door.
+func readHTTP(r *bufio.Reader, method string) (any, error) {
+	answer, err := http.ReadResponse(r, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(answer.Body)
+	return fmt.Sprintf("%d %s%s", answer.StatusCode, body, answer.Header.Get("Allow")), err
+}
+
+// expectHTTP wants an answer, and nothing after it but the end.
+func (p *peer) expectHTTP(want string) error {
+	got, err := p.next()
+	if err != nil {
+		return err
+	}
+	text, ok := got.(string)
+	status, part, _ := strings.Cut(want, " ")
+	if !ok || !strings.HasPrefix(text, status) || !strings.Contains(text, part) {
+		return fmt.Errorf("got %v", got)
+	}
+	if status[0] == '1' {
+		return nil
+	}
+	if got, err = p.next(); err != nil {
+		return err
+	}
+	if _, ended := got.(error); !ended {
+		return fmt.Errorf("got %v after the answer", got)
+	}
+	return nil
+}
+
 func (p *peer) open(args string) (err error) {
 	fmt.Sscanf(args, "number=%d", &p.number)
 	if p.name[0] == 's' {
@@ -356,6 +405,9 @@
 	if p.web() {
 		to = p.w.second
 	}
+	if p.operator() {
+		to = p.w.node.Door()
+	}
 	conn, err := net.Dial("tcp4", to.String())
 	if err != nil {
 		return err
@@ -371,6 +423,10 @@
 		go p.read(r, readFrame)
 		return nil
 	}
+	if p.operator() {
+		go p.read(r, func(r *bufio.Reader) (any, error) { return readHTTP(r, args) })
+		return nil
+	}
 	go p.read(r, readSIP)
 	return nil
 }
@@ -552,6 +608,9 @@
 	if p.web() {
 		return p.expectWeb(text)
 	}
+	if p.operator() {
+		return p.expectHTTP(text)
+	}
 	if text == "silence" { // the router answers in order: nothing came before the answer to this
 		if err := p.send("OPTIONS barrier"); err != nil {
 			return err
--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -171,6 +171,7 @@
 s0 send 200 INVITE c1 Body=x
 a expect 200 INVITE c1
 a close
+b expect silence
 s0 send BYE c1 Reason=Q.850;cause=16
 b expect BYE c1 Reason=cause=16
 b send INVITE c2
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"fmt"
 	"hash/maphash"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
 
 	"threadglade.example/threadglade"
 	"threadglade.example/threadglade/internal/loop"
+	"threadglade.example/threadglade/lifecycle"
 	"threadglade.example/threadglade/router"
 )
 
@@ -48,6 +50,7 @@
 	Clock    router.Clock
 	Sockets  int // descriptors that the process may hold
 	Settings threadglade.Settings
+	Life     *lifecycle.Process // says which connections are let go; nil: none ever
 }
 
 // Front answers callers.
@@ -56,6 +59,7 @@
 	clock   router.Clock
 	classes map[string]*threadglade.Class
 	wait    time.Duration // what a flood is told to stay away; 0: nothing
+	life    *lifecycle.Process
 	sockets int
 	set     int // connections set aside for another front
 	conns   map[*caller]bool
@@ -68,8 +72,8 @@
 // FrontCounters count what came from callers and went to them. Open and Owed are what is held now: connections,
 // and releases without one.
 type FrontCounters struct {
-	Accepted, Turned, Evicted, Late, Messages, Malformed, Flooded, Answers, Releases, Moved uint64
-	Open, Owed                                                                              int
+	Accepted, Turned, Evicted, Late, Messages, Malformed, Flooded, Answers, Releases, Moved, Let, Drained uint64
+	Open, Owed                                                                                            int
 }
 
 // owed is a release without a connection to send it on.
@@ -82,7 +86,10 @@
 // NewFront makes a front; Start begins its watch over deadlines.
 func NewFront(c FrontConfig) *Front {
 	f := &Front{router: c.Router, clock: c.Clock, sockets: c.Sockets, classes: map[string]*threadglade.Class{},
-		conns: map[*caller]bool{}, seed: maphash.MakeSeed()}
+		conns: map[*caller]bool{}, seed: maphash.MakeSeed(), life: c.Life}
+	if f.life == nil {
+		f.life = &lifecycle.Process{}
+	}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = &class
 	}
@@ -150,7 +157,8 @@
 		idle.conn.Close(loop.ErrAbandoned)
 	}
 	f.count.Accepted++
-	k := &caller{f: f, conn: c, heard: now, by: now + wholeWithin,
+	_, share := math.Modf(float64(f.count.Accepted) * math.Phi) // evenly spread, however many there are
+	k := &caller{f: f, conn: c, since: now, heard: now, by: now + wholeWithin, share: share,
 		rate: loop.Bucket{Rate: ratePerConn, Burst: burstPerConn}}
 	f.conns[k] = true
 	return k
@@ -163,6 +171,9 @@
 		if k.by > 0 && now >= k.by || k.conn.Unsent() > unsentMost {
 			f.count.Late++
 			k.conn.Close(loop.ErrSlow)
+		} else if !k.over && f.life.Letting(now, k.state()) {
+			f.count.Let++
+			k.finish()
 		}
 	}
 	for len(f.owed) > 0 && now-f.owed[0].at >= owedFor {
@@ -216,7 +227,9 @@
 	f       *Front
 	conn    *loop.Conn
 	open    map[string]*leg // set-ups that came by it and are owed an answer; nil while there is none
+	since   time.Duration   // when it was accepted
 	heard   time.Duration
+	share   float64       // its place where connections are closed one after the other
 	by      time.Duration // when it is closed unless a message is whole by then; 0: none has begun
 	spoke   bool          // it has sent a usable message
 	over    bool          // it was told its end
@@ -225,6 +238,11 @@
 	m       message
 }
 
+// state is what decides whether the connection is let go.
+func (k *caller) state() lifecycle.Conn {
+	return lifecycle.Conn{Open: len(k.open), Since: k.since, Heard: k.heard, Share: k.share}
+}
+
 // standing orders connections by who goes first.
 func (k *caller) standing() int {
 	switch {
@@ -374,8 +392,13 @@
 	if l := k.open[id]; l != nil {
 		return l.sum == sum // a repeat of one that is being worked on needs no answer of its own
 	}
-	if !k.rate.Take(k.heard) {
-		k.f.count.Flooded++
+	flooded := !k.rate.Take(k.heard)
+	if flooded || k.f.life.Turning(k.heard, k.state()) {
+		if flooded {
+			k.f.count.Flooded++
+		} else {
+			k.f.count.Drained++
+		}
 		b := response(k.f.buf[:0], 503).route(m)
 		if k.f.wait > 0 {
 			b = b.headInt("Come-Back-Ms", k.f.wait.Milliseconds())
@@ -434,6 +457,10 @@
 	}
 	l.on.f.count.Answers++
 	l.on.answer(b)
+	if l.on.f.life.LettingAnswered(l.on.f.clock(), l.on.state()) && !l.on.over {
+		l.on.f.count.Let++
+		l.on.finish()
+	}
 }
 
 func (l *leg) Stood(id string, description []byte) {
