Take settings at SIGHUP, whole or not at all; open requests keep the ones they came under

Change: Controller.Change and Router.Change swap one immutable value, which each call holds from its arrival; both fronts, ledger, trace and the middleware follow.

--- a/cmd/threadglade/serve.go
+++ b/cmd/threadglade/serve.go
@@ -59,12 +59,26 @@
 
 func checkCommand() *cobra.Command {
 	var f files
+	var against string
 	cmd := &cobra.Command{Use: "check", Short: "Read the configuration and say what it holds", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			c, err := node.LoadConfig()
 			if err != nil {
 				return err
 			}
+			if against != "" {
+				text, err := os.ReadFile(against)
+				if err != nil {
+					return err
+				}
+				old, err := node.ReadConfig(text, "", "")
+				if err != nil {
+					return fmt.Errorf("%s: %w", against, err)
+				}
+				if err := c.Follows(old); err != nil {
+					return err
+				}
+			}
 			p, err := f.load(c.Name)
 			if err != nil {
 				return err
@@ -78,6 +92,7 @@
 			return nil
 		}}
 	f.flags(cmd)
+	cmd.Flags().StringVar(&against, "against", "", "the configuration in force: a key that it has and the new one lacks is an error, as at SIGHUP")
 	return cmd
 }
 
--- a/controller.go
+++ b/controller.go
@@ -7,7 +7,6 @@
 package threadglade
 
 import (
-	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -90,7 +89,7 @@
 // Controller decides for one proxy. It is a pure state machine: not safe for use by several goroutines at
 // once.
 type Controller struct {
-	set        Settings
+	set        *Settings // in force; calls hold the one that they came under
 	classes    map[string]*Class
 	tenants    map[string]*tenant
 	topWorth   float64
@@ -122,6 +121,7 @@
 // call is one call from its arrival until its answer and the end of its last attempt.
 type call struct {
 	Arrival
+	set      *Settings // that it came under
 	class    *Class
 	value    float64 // what it may still earn, as judged when it came
 	deadline time.Duration
@@ -206,50 +206,18 @@
 
 // New starts a controller. The seed feeds its random choices.
 func New(set Settings, seed uint64) (*Controller, error) {
-	if err := check(set); err != nil {
+	if err := set.Validate(); err != nil {
 		return nil, err
 	}
 	c := &Controller{
-		set: set, classes: map[string]*Class{}, tenants: map[string]*tenant{},
 		random: newDraws(seed),
 		byID:   map[string]*server{}, calls: map[string]*call{}, timers: map[int64]*call{},
 		tried: map[string]time.Duration{}, busy: map[string]rest{},
 	}
-	for _, class := range set.Classes {
-		c.classes[class.Name] = &class
-		c.longest = max(c.longest, class.Deadline)
-		c.holding += class.Holding / time.Duration(len(set.Classes))
-		c.topWorth = max(c.topWorth, class.Worth)
-	}
-	for _, t := range set.Tenants {
-		c.tenants[t.Name] = &tenant{Tenant: t}
-	}
+	c.settle(&set)
 	return c, nil
 }
 
-// check names the first setting that cannot be served.
-func check(set Settings) error {
-	switch {
-	case set.Proxies < 1:
-		return fmt.Errorf("threadglade: Proxies is %d, want at least 1", set.Proxies)
-	case len(set.Classes) == 0:
-		return fmt.Errorf("threadglade: Classes is empty")
-	case set.Rules.ReleaseWait < 0 || set.Rules.WarmWithin < 0 || set.Rules.FallWindow < 0:
-		return fmt.Errorf("threadglade: Rules has a negative time")
-	case set.Limits.MaxAttempts < 1:
-		return fmt.Errorf("threadglade: Limits.MaxAttempts is %d, want at least 1", set.Limits.MaxAttempts)
-	}
-	for i, class := range set.Classes {
-		switch {
-		case class.Aim <= 0 || class.Deadline <= 0:
-			return fmt.Errorf("threadglade: Classes[%d]: Aim and Deadline must be positive", i)
-		case !set.Network && len(class.Servers) == 0:
-			return fmt.Errorf("threadglade: Classes[%d].Servers is empty", i)
-		}
-	}
-	return nil
-}
-
 // Handle takes one event at a clock time and returns what is to be done, in order.
 func (c *Controller) Handle(now time.Duration, event Event) []Action {
 	c.now, c.actions = max(now, c.now), nil
@@ -355,7 +323,7 @@
 	if c.calls[e.Call] != nil {
 		return
 	}
-	k := &call{Arrival: e, class: c.classes[e.Class], deadline: c.now + e.TimeLeft}
+	k := &call{Arrival: e, set: c.set, class: c.classes[e.Class], deadline: c.now + e.TimeLeft}
 	c.calls[e.Call] = k
 	if k.class == nil || e.TimeLeft <= 0 || c.now < c.busy[k.Number].until {
 		c.refuse(k, c.unfit(k))
@@ -632,9 +600,9 @@
 	if k.settled(); len(s.overdue) == 0 {
 		s.trial = 0
 	}
-	wait := c.set.Rules.ReleaseWait + s.latest
-	if !k.lost && c.set.Limits.Cancel && k.class.Repeat == RepeatFree &&
-		k.attempts < c.set.Limits.MaxAttempts && c.now+wait < k.deadline {
+	wait := k.set.Rules.ReleaseWait + s.latest
+	if !k.lost && k.set.Limits.Cancel && k.class.Repeat == RepeatFree &&
+		k.attempts < k.set.Limits.MaxAttempts && c.now+wait < k.deadline {
 		c.do(GiveUp{Call: k.Call, Attempt: k.attempts - 1, Why: Overtaken})
 	}
 	k.lost = true
@@ -675,7 +643,7 @@
 	case e.Outcome == Unreachable, e.Outcome == Faulted && k.faults < faultsOfCall:
 		c.again(k, 0)
 	case e.Outcome == Cut || e.Outcome == TimedOut || e.Outcome == Cancelled:
-		c.again(k, c.set.Rules.ReleaseWait)
+		c.again(k, k.set.Rules.ReleaseWait)
 	default:
 		c.refuse(k, returned(e))
 	}
@@ -684,7 +652,7 @@
 // again places the call once more after a wait, if that is allowed and there is time.
 func (c *Controller) again(k *call, wait time.Duration) {
 	switch {
-	case k.attempts >= c.set.Limits.MaxAttempts, k.mayHold && k.class.Repeat != RepeatFree,
+	case k.attempts >= k.set.Limits.MaxAttempts, k.mayHold && k.class.Repeat != RepeatFree,
 		c.now+wait >= k.deadline:
 		c.refuse(k, NoFurther)
 	case wait > 0:
@@ -751,15 +719,15 @@
 		c.do(Fail{Call: k.Call, Why: why})
 		return
 	}
-	c.do(Refuse{Call: k.Call, RetryAfter: c.advice(), Why: why})
+	c.do(Refuse{Call: k.Call, RetryAfter: k.advice(), Why: why})
 }
 
 // advice is when a refused caller had best try again: soon, while the aim can still be met.
-func (c *Controller) advice() time.Duration {
-	if !c.set.Limits.RetryAfter {
+func (k *call) advice() time.Duration {
+	if !k.set.Limits.RetryAfter {
 		return 0
 	}
-	return min(comeBack, c.set.Limits.MaxRetryAfter)
+	return min(comeBack, k.set.Limits.MaxRetryAfter)
 }
 
 // ---- route ----
--- a/fingerprint.go
+++ b/fingerprint.go
@@ -94,13 +94,13 @@
 	}
 }
 
-func (f *form) call(k *call) {
+func (f *form) call(k *call, set *Settings) {
 	f.text(k.Call)
 	f.text(k.Class)
 	f.text(k.Tenant)
 	f.text(k.Number)
 	f.number(int64(k.Destination), int64(k.attempts), int64(k.faults), int64(k.deadline-f.now), int64(k.due-f.now), int64(max(0, k.patience-f.now)))
-	f.flags(k.Retry, k.InTransit, k.out, k.stood, k.closed, k.mayHold, k.late, k.lost, k.returned, k.turned, k.measured != nil, k.at != nil)
+	f.flags(k.Retry, k.InTransit, k.out, k.stood, k.closed, k.mayHold, k.late, k.lost, k.returned, k.turned, k.set == set, k.measured != nil, k.at != nil)
 	f.real(k.value)
 	f.past(k.sent)
 	f.past(k.resume) // 0 is none
@@ -131,7 +131,7 @@
 	}
 	f.number(int64(len(c.calls)))
 	for _, id := range slices.Sorted(maps.Keys(c.calls)) {
-		f.call(c.calls[id])
+		f.call(c.calls[id], c.set)
 	}
 	f.number(int64(len(c.waiting)))
 	for _, k := range c.waiting {
--- a/internal/callcontrol/callcontrol.go
+++ b/internal/callcontrol/callcontrol.go
@@ -177,13 +177,19 @@
 // New makes the front.
 func New(cfg Config, classes []threadglade.Class, r *router.Router, clock router.Clock, verify Verify,
 	log zerolog.Logger) *Front {
-	f := &Front{cfg: cfg, classes: map[string]threadglade.Class{}, router: r, clock: clock, verify: verify, log: log,
+	f := &Front{cfg: cfg, router: r, clock: clock, verify: verify, log: log,
 		socks: map[*socket]bool{}, calls: map[string]*call{}, owned: map[string]int{}}
+	f.Change(classes)
+	f.sweep()
+	return f
+}
+
+// Change has calls that are placed from now on be checked against other classes.
+func (f *Front) Change(classes []threadglade.Class) {
+	f.classes = make(map[string]threadglade.Class, len(classes))
 	for _, c := range classes {
 		f.classes[c.Name] = c
 	}
-	f.sweep()
-	return f
 }
 
 // Counters returns a copy.
--- a/internal/ledgerio/carrier.go
+++ b/internal/ledgerio/carrier.go
@@ -184,6 +184,9 @@
 // SetTenants replaces the tenants' tables.
 func (c *Carrier) SetTenants(d *ledger.Directory) { c.keeper.SetTenants(d) }
 
+// SetClasses has calls that come from now on earn by other classes.
+func (c *Carrier) SetClasses(classes map[string]ledger.Class) { c.keeper.SetClasses(classes) }
+
 // Admit says whether a request can be billed, where the settings want only such.
 func (c *Carrier) Admit(router.Request) (bool, time.Duration) {
 	if !c.cfg.Refuse || !c.open {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 package node
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -14,7 +13,6 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -22,16 +20,16 @@
 
 	"threadglade.example/threadglade"
 	"threadglade.example/threadglade/internal/callcontrol"
-	"threadglade.example/threadglade/internal/durable"
 	"threadglade.example/threadglade/internal/ledgerio"
 	"threadglade.example/threadglade/internal/loop"
 	"threadglade.example/threadglade/internal/mgmt"
 	"threadglade.example/threadglade/internal/registry"
 	"threadglade.example/threadglade/internal/sip"
 	"threadglade.example/threadglade/internal/traceio"
-	"threadglade.example/threadglade/internal/wire"
+	"threadglade.example/threadglade/ledger"
 	"threadglade.example/threadglade/lifecycle"
 	"threadglade.example/threadglade/router"
+	"threadglade.example/threadglade/trace"
 )
 
 const (
@@ -43,116 +41,6 @@
 	memoryPart = 0.7
 )
 
-// Config is what the platform tells a call router.
-type Config struct {
-	Name     string
-	Listen   netip.AddrPort
-	Mgmt     netip.AddrPort // the operators' door; the zero value: none
-	Resolver netip.AddrPort
-	Seed     uint64
-	MemoryMB int
-	Sockets  int
-	Cursor   uint32
-	Servers  []sip.Server
-	Settings threadglade.Settings
-
-	ConnectTimeout time.Duration
-	Free, Total    string // names of the figures in a server's state
-
-	Product Product    // the product's own settings; everything in it is off unless it says so
-	FS      durable.FS // nil: the operating system's
-}
-
-// ReadConfig reads the platform's configuration; listen and mgmt, if not empty, override the addresses in it.
-func ReadConfig(text []byte, listen, mgmt string) (Config, error) {
-	var raw struct {
-		Name   string `json:"name"`
-		Listen string `json:"listen"`
-		Mgmt   string `json:"mgmt"`
-		Seed   string `json:"seed"`
-		Limits struct {
-			MemoryMB float64 `json:"memory_mb"`
-			Sockets  int     `json:"sockets"`
-		} `json:"limits"`
-		Resolver string          `json:"resolver"`
-		Known    json.RawMessage `json:"known"`
-		Settings json.RawMessage `json:"settings"`
-	}
-	if err := json.Unmarshal(text, &raw); err != nil {
-		return Config{}, err
-	}
-	var more struct {
-		Report struct {
-			Fields []string `json:"fields"`
-		} `json:"report"`
-		Limits struct {
-			Connect float64 `json:"connectTimeoutMs"`
-		} `json:"limits"`
-	}
-	if err := json.Unmarshal(raw.Settings, &more); err != nil {
-		return Config{}, fmt.Errorf("settings: %w", err)
-	}
-	c := Config{Name: raw.Name, MemoryMB: int(raw.Limits.MemoryMB), Sockets: raw.Limits.Sockets,
-		ConnectTimeout: wire.Span(more.Limits.Connect)}
-	if c.ConnectTimeout <= 0 {
-		c.ConnectTimeout = 500 * time.Millisecond
-	}
-	if len(more.Report.Fields) >= 2 {
-		c.Free, c.Total = more.Report.Fields[0], more.Report.Fields[1]
-	}
-	if listen == "" {
-		listen = raw.Listen
-	}
-	var err error
-	if c.Listen, err = netip.ParseAddrPort(listen); err != nil {
-		return c, fmt.Errorf("listen: %w", err)
-	}
-	if mgmt == "" {
-		mgmt = raw.Mgmt
-	}
-	if mgmt != "" {
-		if c.Mgmt, err = netip.ParseAddrPort(mgmt); err != nil {
-			return c, fmt.Errorf("mgmt: %w", err)
-		}
-		if c.Mgmt == c.Listen && c.Mgmt.Port() != 0 {
-			return c, fmt.Errorf("mgmt: %s is where callers connect", c.Mgmt)
-		}
-	}
-	if c.Resolver, err = netip.ParseAddrPort(raw.Resolver); err != nil {
-		return c, fmt.Errorf("resolver: %w", err)
-	}
-	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
-		return c, fmt.Errorf("seed: %w", err)
-	}
-	if c.Settings, err = wire.Settings(raw.Settings); err != nil {
-		return c, fmt.Errorf("settings: %w", err)
-	}
-	if c.Cursor, c.Servers, err = registry.ReadKnown(raw.Known); err != nil {
-		return c, fmt.Errorf("known: %w", err)
-	}
-	if _, err = threadglade.New(c.Settings, c.Seed); err != nil {
-		return c, fmt.Errorf("settings: %w", err)
-	}
-	return c, nil
-}
-
-// LoadConfig reads the configuration that the environment names.
-func LoadConfig() (Config, error) {
-	path := os.Getenv("NODE_CONFIG")
-	if path == "" {
-		return Config{}, errors.New("NODE_CONFIG is not set")
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Config{}, err
-	}
-	c, err := ReadConfig(text, os.Getenv("NODE_LISTEN"), os.Getenv("NODE_MGMT"))
-	if err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
-	}
-	return c, nil
-}
-
 // Node is one running call router.
 type Node struct {
 	Loop   *loop.Loop
@@ -349,19 +237,28 @@
 	look()
 }
 
-// Apply takes a configuration that was read anew. The name service is followed to its new address at once and the
-// list goes on by its number; limits hold from now on. Calls, servers and connections stay as they are, and
-// what a running router cannot change is named in the log and waits for the next start.
+// Apply takes a configuration that was read anew, whole or, with an error, not at all. The name service is followed to its new address
+// at once and the list goes on by its number; limits hold from now on, and settings for the requests that come from now on. Calls,
+// servers and connections stay as they are, and what a running router cannot change is named in the log and waits for the next start.
 func (n *Node) Apply(c Config) error {
+	old := n.config
+	if err := c.Follows(old); err != nil {
+		return err
+	}
+	if err := c.Settings.Validate(); err != nil {
+		return err
+	}
 	if err := n.names.Move(c.Resolver); err != nil {
 		return err
 	}
 	n.names.Known(c.Cursor, c.Servers)
 	n.front.Hold(c.Sockets)
-	old := n.config
+	if !reflect.DeepEqual(c.Settings, old.Settings) {
+		n.change(c.Settings)
+	}
 	for name, same := range map[string]bool{"name": c.Name == old.Name, "listen": c.Listen == old.Listen, "mgmt": c.Mgmt == old.Mgmt,
-		"seed": c.Seed == old.Seed, "settings": reflect.DeepEqual(c.Settings, old.Settings) &&
-			c.ConnectTimeout == old.ConnectTimeout && c.Free == old.Free && c.Total == old.Total} {
+		"seed": c.Seed == old.Seed, "settings.limits.connectTimeoutMs": c.ConnectTimeout == old.ConnectTimeout,
+		"settings.report.fields": c.Free == old.Free && c.Total == old.Total} {
 		if !same {
 			n.log.Warn().Str("event", "config_waits").Str("field", name).Msgf("configuration: %s has changed, which takes a restart", name)
 		}
@@ -370,11 +267,34 @@
 		n.trace.Reload()
 	}
 	// What cannot change now is compared with what is in force the next time, too.
-	n.config.Resolver, n.config.MemoryMB, n.config.Sockets = c.Resolver, c.MemoryMB, c.Sockets
+	n.config.Resolver, n.config.MemoryMB, n.config.Sockets, n.config.Settings, n.config.tree = c.Resolver, c.MemoryMB, c.Sockets, c.Settings, c.tree
 	n.log.Info().Str("event", "config_taken").Msgf("configuration read anew: name service %s, %d MB, %d sockets", c.Resolver, c.MemoryMB, c.Sockets)
 	return nil
 }
 
+// change puts settings in force that were found good, everywhere in one step of the loop.
+func (n *Node) change(set threadglade.Settings) {
+	if err := n.Router.Change(set); err != nil {
+		return
+	}
+	n.front.Change(set)
+	if n.second != nil {
+		n.second.Change(set.Classes)
+	}
+	if n.ledger != nil {
+		n.ledger.SetClasses(ledger.Classes(set.Classes))
+	}
+	if n.trace != nil {
+		n.trace.SetClasses(trace.Classes(set.Classes))
+	}
+	var names []string
+	for _, class := range set.Classes {
+		names = append(names, class.Name)
+	}
+	n.log.Info().Str("event", "settings_taken").Strs("classes", names).Int("attempts", set.Limits.MaxAttempts).
+		Msgf("settings in force: %d classes, at most %d attempts", len(names), set.Limits.MaxAttempts)
+}
+
 // reload reads the configuration that the environment names, and the settings; a bad one is logged, and the old one stays.
 // It runs beside the loop.
 func (n *Node) reload() {
@@ -385,8 +305,9 @@
 	}
 	n.Loop.Post(func() {
 		if err == nil {
-			Limit(c)
-			err = n.Apply(c)
+			if err = n.Apply(c); err == nil {
+				Limit(c)
+			}
 		}
 		if err != nil {
 			n.log.Error().Str("event", "config_bad").Msgf("configuration not taken, the old one stays: %v", err)
--- a/internal/scenario/operations_test.go
+++ b/internal/scenario/operations_test.go
@@ -175,3 +175,100 @@
 a expect silence`,
 	})
 }
+
+const once = `{"name":"once","aimMs":1000,"deadlineMs":4000,"gain":1,"lateWorth":0.5,"repeat":"single_shot"}`
+
+// Settings that change in a running router, seen from the sockets.
+func TestSettingsChange(t *testing.T) {
+	add := fmt.Sprintf("config good %q %q %q %q %q %q\n", `"classes":[`, `"classes":[`+once+`,`, `[[0,1],[0,1]]`, `[[0,1],[0,1],[0,1]]`, `[2000,2000]`, `[2000,2000,2000]`)
+	playAll(t, map[string]string{
+		"a class is added, is used by its own rules, and goes": two + `
+a send INVITE c1 Call-Kind=once
+a expect 400 INVITE c1
+a send INVITE c2
+s0 expect INVITE c2
+` + add + `
+a send INVITE c3 Call-Kind=once Routing-Data=dest:1 Answer-Within=4500
+a expect 400 INVITE c3
+a send INVITE c4 Call-Kind=once Routing-Data=dest:1
+s1 expect INVITE c4 Call-Kind=once
+s1 send 504 INVITE c4
+a expect 500 INVITE c4
+s0 send 504 INVITE c2
+wait 300ms
+s1 expect INVITE c2
+s1 send 200 INVITE c2
+a expect 200 INVITE c2
+a send INVITE c5 Call-Kind=once Routing-Data=dest:1
+s1 expect INVITE c5
+config good ` + fmt.Sprintf("%q %q", once, once[:9]+`other`+once[13:]) + `
+a send INVITE c6 Call-Kind=once
+a expect 400 INVITE c6
+s1 send 200 INVITE c5
+a expect 200 INVITE c5
+s1 send BYE c5 Reason=Q.850;cause=16
+a expect BYE c5`,
+
+		"fewer attempts hold for what comes from then on": two + `
+a send INVITE c1
+s0 expect INVITE c1
+config good "\"maxAttempts\":6" "\"maxAttempts\":1" "\"maxRetryAfterMs\":2000" "\"maxRetryAfterMs\":30"
+s0 send 504 INVITE c1
+wait 300ms
+s1 expect INVITE c1
+s1 send 200 INVITE c1
+a expect 200 INVITE c1
+a send INVITE c2 Routing-Data=dest:1
+s1 expect INVITE c2
+s1 send 504 INVITE c2
+a expect 500 INVITE c2
+s0 send NOTIFY s Link-State=idle:9;circuits:9
+a send INVITE c3 Routing-Data=dest:1
+s1 expect INVITE c3
+s1 send 503 INVITE c3 Fail-Word=swamped
+a expect 503 INVITE c3 Come-Back-Ms=30`,
+
+		"a class goes while a call of it is held": two + `
+s0 send NOTIFY s Link-State=idle:0;circuits:9
+s1 send NOTIFY s Link-State=idle:0;circuits:9
+wait 100ms
+list s0=draining s1=draining
+log "list: server s1 number 1 state 1"
+a send INVITE c1 Call-Kind=data
+wait 50ms
+config good ` + fmt.Sprintf("%q %q %q %q %q %q", `,
+ {"name":"data","aimMs":1000,"deadlineMs":5000,"gain":1,"lateWorth":0.5,"repeat":"free"}`, "", `[[0,1],[0,1]]`, `[[0,1]]`, `[2000,2000]`, `[2000]`) + `
+list s0 s1
+log "list: server s1 number 1 state 0"
+s0 expect INVITE c1 Call-Kind=data
+s0 send 200 INVITE c1
+a expect 200 INVITE c1
+a send INVITE c2 Call-Kind=data
+a expect 400 INVITE c2`,
+
+		"what is bad changes nothing": two + `
+config bad "\"maxAttempts\":6" "\"maxAttempts\":0"
+config bad "\"maxAttempts\":6," ""
+config bad "\"maxAttempts\":6" "\"maxAttempts\":\"6\""
+config bad "\"deadlineMs\":5000" "\"deadlineMs\":0"
+config bad "\"deadlineMs\":5000" "\"deadlineMs\":-5"
+config bad "\"deadlineMs\":5000," ""
+config bad "\"lateWorth\":0.5," ""
+config bad "\"repeat\":\"free\"" "\"repeat\":\"often\""
+config bad "\"cancel\":true," ""
+config bad "\"name\":\"data\"" "\"name\":\"voice\""
+config bad "[[0,1],[0,1]]" "[[0,1]]"
+config bad "\"resolver\":" "\"solver\":" "\"maxAttempts\":6" "\"maxAttempts\":1"
+config bad "\"settings\":" "\"setting\":"
+config bad "}}" "}"
+config bad "\"sockets\":300" "\"sockets\":0"
+config bad "\"rules\":{" "\"rules\":5,\"more\":{"
+a send INVITE c1
+s0 expect INVITE c1
+s0 send 504 INVITE c1
+wait 300ms
+s1 expect INVITE c1
+s1 send 200 INVITE c1
+a expect 200 INVITE c1`,
+	})
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -13,6 +13,7 @@
 //	NAME close               end the connection; sN: and the listener; "sN hang": the machine vanishes
 //	list [serial=N] sN[=draining|@ms]...  the name service now has this list
 //	disk slow|back|full      the ledger's disk stops, takes nothing, or is as before
+//	config good|bad "old" "new"...  the configuration is read anew with these parts replaced, and taken or not
 //	wait DURATION            the router's clock moves on
 //	log "text"               the clock moves on until the router has logged this
 //	quiet "text"             it has not logged this since
@@ -151,6 +152,8 @@
 		}
 		w.names.Set(serial, w.entries())
 		return nil
+	case "config":
+		return w.reconfigure(rest)
 	case "disk":
 		if w.back != nil {
 			w.back()
@@ -226,6 +229,44 @@
 	return fmt.Errorf("no verb %q", verb)
 }
 
+// reconfigure has the router take another configuration, as SIGHUP does.
+func (w *world) reconfigure(args string) error {
+	verdict, rest, _ := strings.Cut(args, " ")
+	text := w.config
+	for rest != "" {
+		old, err := strconv.QuotedPrefix(rest)
+		if err != nil {
+			return err
+		}
+		rest = strings.TrimSpace(rest[len(old):])
+		now, err := strconv.QuotedPrefix(rest)
+		if err != nil {
+			return err
+		}
+		rest = strings.TrimSpace(rest[len(now):])
+		old, _ = strconv.Unquote(old)
+		now, _ = strconv.Unquote(now)
+		if !strings.Contains(text, old) {
+			return fmt.Errorf("no %s in the configuration", old)
+		}
+		text = strings.Replace(text, old, now, 1)
+	}
+	c, err := node.ReadConfig([]byte(text), "", "")
+	if err == nil {
+		done := make(chan error, 1)
+		w.node.Loop.Post(func() { done <- w.node.Apply(c) })
+		err = <-done
+	}
+	if verdict == "bad" {
+		if err == nil {
+			return errors.New("a bad configuration was taken")
+		}
+		return nil
+	}
+	w.config = text
+	return err
+}
+
 // advance moves the router's clock in small steps and has the loop see each. The clock never outruns the stand-ins: a query
 // that the router has sent is answered, and a connection that it has opened is accepted, before the next step.
 func (w *world) advance(d time.Duration) {
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -85,18 +85,24 @@
 
 // NewFront makes a front; Start begins its watch over deadlines.
 func NewFront(c FrontConfig) *Front {
-	f := &Front{router: c.Router, clock: c.Clock, sockets: c.Sockets, classes: map[string]*threadglade.Class{},
-		conns: map[*caller]bool{}, seed: maphash.MakeSeed(), life: c.Life}
+	f := &Front{router: c.Router, clock: c.Clock, sockets: c.Sockets, conns: map[*caller]bool{}, seed: maphash.MakeSeed(), life: c.Life}
 	if f.life == nil {
 		f.life = &lifecycle.Process{}
 	}
-	for _, class := range c.Settings.Classes {
-		f.classes[class.Name] = &class
+	f.Change(c.Settings)
+	return f
+}
+
+// Change has set-ups that come from now on be read by other settings.
+func (f *Front) Change(set threadglade.Settings) {
+	classes := make(map[string]*threadglade.Class, len(set.Classes))
+	for _, class := range set.Classes {
+		classes[class.Name] = &class
 	}
-	if c.Settings.Limits.RetryAfter {
-		f.wait = min(time.Second, c.Settings.Limits.MaxRetryAfter)
+	f.classes, f.wait = classes, 0
+	if set.Limits.RetryAfter {
+		f.wait = min(time.Second, set.Limits.MaxRetryAfter)
 	}
-	return f
 }
 
 // Start begins to watch the connections.
--- a/internal/traceio/recorder.go
+++ b/internal/traceio/recorder.go
@@ -106,7 +106,8 @@
 type Recorder struct {
 	cfg     Config
 	meta    trace.Meta
-	calls   [][]followed // by slot, in parts that stay where they are
+	classes atomic.Pointer[[]trace.ClassMeta] // as the next file describes them
+	calls   [][]followed                      // by slot, in parts that stay where they are
 	open    int
 	servers map[string]*known
 	ring    []slip
@@ -263,7 +264,8 @@
 		}
 	}
 	r := &Recorder{cfg: cfg, servers: map[string]*known{}, stop: make(chan struct{}),
-		meta: trace.Meta{Router: cfg.Router, Life: cfg.Clock().Microseconds(), Build: cfg.Build, Classes: cfg.Classes}}
+		meta: trace.Meta{Router: cfg.Router, Life: cfg.Clock().Microseconds(), Build: cfg.Build}}
+	r.classes.Store(&cfg.Classes)
 	if cfg.Flight > 0 {
 		r.ring = make([]slip, 0, cfg.Records)
 	}
@@ -600,6 +602,9 @@
 // Reload records that the configuration was read anew.
 func (r *Recorder) Reload() { r.put(r.next(trace.Reload, 0)) }
 
+// SetClasses has the next file, which begins at once, describe other classes.
+func (r *Recorder) SetClasses(classes []trace.ClassMeta) { r.classes.Store(&classes) }
+
 // SetTenants replaces the tenants' tables.
 func (r *Recorder) SetTenants(d *ledger.Directory) { r.cfg.Tenants = d }
 
@@ -623,7 +628,7 @@
 	r.dumps++
 	path := filepath.Join(r.cfg.FlightDir, fmt.Sprintf("%s-flight-%s-%d%s", fileName(r.cfg.Router), time.UnixMicro(now.Microseconds()).UTC().Format("20060102T150405Z"), r.dumps, Extension))
 	meta := r.meta
-	meta.Part = 1
+	meta.Part, meta.Classes = 1, *r.classes.Load()
 	r.done.Add(1)
 	go func() {
 		defer r.done.Done()
@@ -684,6 +689,8 @@
 	w     *Writer
 	began time.Time
 	block time.Time // when the first record that waits came
+	// classes are those that it describes.
+	classes *[]trace.ClassMeta
 }
 
 // write is the writer's goroutine.
@@ -762,7 +769,7 @@
 				r.written.Add(uint64(out.w.Count - before))
 			}
 		}
-		if out != nil && (last || out.w.Offset() >= r.cfg.FileBytes || now.Sub(out.began) >= r.cfg.FileSpan) {
+		if out != nil && (last || out.w.Offset() >= r.cfg.FileBytes || now.Sub(out.began) >= r.cfg.FileSpan || out.classes != r.classes.Load()) {
 			err := out.w.Close()
 			if err == nil {
 				err = out.file.Sync()
@@ -787,8 +794,8 @@
 
 // begin opens the next file and makes room for it.
 func (r *Recorder) begin(part int, now time.Time) (*output, error) {
-	meta := r.meta
-	meta.Part = part
+	meta, classes := r.meta, r.classes.Load()
+	meta.Part, meta.Classes = part, *classes
 	path := filepath.Join(r.cfg.Dir, fmt.Sprintf("%s-%s-%06d%s", fileName(r.cfg.Router), time.UnixMicro(r.meta.Life).UTC().Format("20060102T150405.000000Z"), part, Extension))
 	if err := r.sweep(path); err != nil {
 		return nil, err
@@ -802,7 +809,7 @@
 		file.Close()
 		return nil, err
 	}
-	return &output{path: path, file: file, w: w, began: now}, nil
+	return &output{path: path, file: file, w: w, began: now, classes: classes}, nil
 }
 
 // sweep removes the router's oldest files until there is room for one more; never the open one.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"threadglade.example/threadglade"
 )
@@ -50,8 +51,7 @@
 }
 
 var repeats = map[string]threadglade.Repeat{
-	"free": threadglade.RepeatFree, "guarded": threadglade.RepeatGuarded, "single_shot": threadglade.RepeatNever,
-}
+	"free": threadglade.RepeatFree, "guarded": threadglade.RepeatGuarded, "single_shot": threadglade.RepeatNever}
 
 // Settings reads an instance's settings; keys it does not know are skipped.
 func Settings(raw json.RawMessage) (threadglade.Settings, error) {
@@ -70,6 +70,9 @@
 		Callers: threadglade.Callers{MarkRetries: p.Callers.Marks},
 	}
 	for i, c := range p.Classes {
+		if _, known := repeats[c.Repeat]; !known {
+			return s, fmt.Errorf("classes[%d].repeat: %q is unknown", i, c.Repeat)
+		}
 		class := threadglade.Class{Name: c.Name, Aim: Span(c.Aim), Deadline: Span(c.Deadline), Worth: c.Gain,
 			LateWorth: c.Late, Repeat: repeats[c.Repeat]}
 		if i < len(p.Domain.Pools) {
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -139,6 +140,14 @@
 // SetTenants replaces the tenants' tables; calls that are open stay whose they are.
 func (k *Keeper) SetTenants(d *Directory) { k.cfg.Tenants = d }
 
+// SetClasses has calls that come from now on earn by other classes. Those that were dropped are remembered for calls of earlier
+// lives; the map is not changed by the Keeper.
+func (k *Keeper) SetClasses(classes map[string]Class) {
+	all := maps.Clone(k.cfg.Classes)
+	maps.Copy(all, classes)
+	k.cfg.Classes = all
+}
+
 // Counters returns a copy.
 func (k *Keeper) Counters() KeeperCounters {
 	k.count.Open, k.count.Old, k.count.Waiting = len(k.live), len(k.old), len(k.out)
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,7 +53,7 @@
 	once   sync.Once
 	mu     sync.Mutex
 	calls  map[string]*call
-	spans  map[string]time.Duration // the classes' deadlines
+	spans  atomic.Pointer[map[string]time.Duration] // the classes' deadlines
 }
 
 // New starts a core; Close ends it. The error names the setting that cannot be served.
@@ -63,11 +64,8 @@
 	if cfg.Most == 0 {
 		cfg.Most = requestsMost
 	}
-	c := &Core{cfg: cfg, wake: make(chan struct{}, 1), done: make(chan struct{}), calls: map[string]*call{},
-		spans: map[string]time.Duration{}}
-	for _, class := range cfg.Settings.Classes {
-		c.spans[class.Name] = class.Deadline
-	}
+	c := &Core{cfg: cfg, wake: make(chan struct{}, 1), done: make(chan struct{}), calls: map[string]*call{}}
+	c.spans.Store(spans(cfg.Settings))
 	var err error
 	c.router, err = router.New(router.Config{Settings: cfg.Settings, Seed: cfg.Seed, Clock: cfg.Clock, Trunk: trunk{c},
 		Log: cfg.Log, Wake: c.Wake, Observer: cfg.Observer})
@@ -78,6 +76,24 @@
 	return c, nil
 }
 
+// Change puts other settings in force for the requests that come from now on, whole; those that are open keep theirs. An error names
+// the setting that cannot be served, and nothing has changed.
+func (c *Core) Change(set threadglade.Settings) error {
+	err := c.router.Change(set)
+	if err == nil {
+		c.spans.Store(spans(set))
+	}
+	return err
+}
+
+func spans(set threadglade.Settings) *map[string]time.Duration {
+	m := make(map[string]time.Duration, len(set.Classes))
+	for _, class := range set.Classes {
+		m[class.Name] = class.Deadline
+	}
+	return &m
+}
+
 // run is the one goroutine that drives the core's timers.
 func (c *Core) run() {
 	timer := time.NewTimer(0)
@@ -180,7 +196,7 @@
 		now := c.cfg.Clock()
 		req := c.cfg.Describe(r, now)
 		req.ID = newID()
-		span, known := c.spans[req.Class]
+		span, known := (*c.spans.Load())[req.Class]
 		if !known {
 			http.Error(w, "no such class", http.StatusBadRequest)
 			return
--- a/router/clone.go
+++ b/router/clone.go
@@ -27,8 +27,8 @@
 	if r.busy || len(r.queue) > 0 {
 		return nil, ErrBusy
 	}
-	cfg.Settings, cfg.Seed = r.cfg.Settings, r.cfg.Seed
-	d := &Router{cfg: cfg, control: r.control.Clone(), calls: make(map[string]*call, len(r.calls)), servers: make(map[string]*server, len(r.servers)),
+	cfg.Settings, cfg.Seed = *r.inForce, r.cfg.Seed
+	d := &Router{cfg: cfg, control: r.control.Clone(), inForce: r.inForce, calls: make(map[string]*call, len(r.calls)), servers: make(map[string]*server, len(r.servers)),
 		over: maps.Clone(r.over), overAt: slices.Clone(r.overAt), lapsing: r.lapsing, strays: r.strays, second: r.second, count: r.count,
 		slots: slices.Clone(r.slots), slot: r.slot, timers: slices.Clone(r.timers), order: r.order, taken: r.taken}
 	d.open.Store(r.open.Load())
@@ -90,7 +90,7 @@
 		text(id)
 		number(int64(s.state))
 		if s.state != threadglade.Up { // of one that is up the next word counts
-			number(int64(min(now-s.told, r.cfg.Settings.Rules.DrainGrace+rememberFor)))
+			number(int64(min(now-s.told, r.inForce.Rules.DrainGrace+rememberFor)))
 		}
 	}
 	number(int64(len(r.over)))
--- a/router/router.go
+++ b/router/router.go
@@ -126,6 +126,7 @@
 type Router struct {
 	cfg     Config
 	control *threadglade.Controller
+	inForce *threadglade.Settings
 	calls   map[string]*call
 	servers map[string]*server
 	over    map[string]end // ids that are over
@@ -165,6 +166,7 @@
 
 type call struct {
 	Request
+	set      *threadglade.Settings // that it came under
 	front    Front
 	attempt  Attempt
 	sent     time.Duration
@@ -197,10 +199,27 @@
 	if cfg.Clock == nil || cfg.Trunk == nil {
 		return nil, fmt.Errorf("router: Config needs a Clock and a Trunk")
 	}
-	return &Router{cfg: cfg, control: control, calls: map[string]*call{}, servers: map[string]*server{},
+	return &Router{cfg: cfg, control: control, inForce: &cfg.Settings, calls: map[string]*call{}, servers: map[string]*server{},
 		over: map[string]end{}}, nil
 }
 
+// Change puts other settings in force for the requests that come from now on, in the Controller and here, whole. Those that
+// are open keep theirs. An error names the setting that cannot be served, and nothing has changed.
+func (r *Router) Change(set threadglade.Settings) error {
+	if err := set.Validate(); err != nil {
+		return err
+	}
+	r.do(nil, func([]byte) {
+		if err := r.control.Change(set); err == nil { // it was found good above
+			r.inForce = &set
+		}
+	})
+	return nil
+}
+
+// Settings are those in force. It is for between calls of other methods.
+func (r *Router) Settings() threadglade.Settings { return *r.inForce }
+
 // do works f off now, or after what is being worked on; b is copied if it has to wait.
 func (r *Router) do(b []byte, f func([]byte)) {
 	r.mu.Lock()
@@ -242,7 +261,7 @@
 			return
 		}
 		now := r.cfg.Clock()
-		c := &call{Request: req, front: front}
+		c := &call{Request: req, set: r.inForce, front: front}
 		r.calls[req.ID] = c
 		r.count.Requests++
 		r.open.Add(1)
@@ -452,7 +471,7 @@
 func (r *Router) end(c *call, how threadglade.Outcome, cause threadglade.Cause, release bool) {
 	now := r.cfg.Clock()
 	if how == threadglade.TimedOut || how == threadglade.Cut || how == threadglade.Cancelled {
-		c.hold = now + r.cfg.Settings.Rules.ReleaseWait
+		c.hold = now + c.set.Rules.ReleaseWait
 	}
 	r.count.Ends[how]++
 	if c.standing {
@@ -536,7 +555,7 @@
 			if c := r.answer(a.Call); c != nil {
 				r.count.Failed++
 				why := GivenUp
-				if r.cfg.Clock()+r.cfg.Settings.Rules.ReleaseWait >= c.Deadline {
+				if r.cfg.Clock()+c.set.Rules.ReleaseWait >= c.Deadline {
 					why = DeadlinePast
 				}
 				r.observeDecision(Failed, c, c.attempt.Server, a.Why, Event{Why: why})
@@ -598,10 +617,10 @@
 // refuse turns a request away that the Controller has not heard of.
 func (r *Router) refuse(c *call, retryAfter time.Duration) {
 	r.settle(c)
-	if !r.cfg.Settings.Limits.RetryAfter {
+	if !c.set.Limits.RetryAfter {
 		retryAfter = 0
 	}
-	r.refused(c, min(retryAfter, r.cfg.Settings.Limits.MaxRetryAfter), threadglade.Unbillable)
+	r.refused(c, min(retryAfter, c.set.Limits.MaxRetryAfter), threadglade.Unbillable)
 }
 
 func (r *Router) refused(c *call, retryAfter time.Duration, why threadglade.Reason) {
@@ -666,9 +685,9 @@
 	switch {
 	case s == nil:
 		return "the server was never listed"
-	case s.state != threadglade.Up && now-s.told > r.cfg.Settings.Rules.DrainGrace-drainEarly:
+	case s.state != threadglade.Up && now-s.told > r.inForce.Rules.DrainGrace-drainEarly:
 		return "the server drains or is gone"
-	case c.attempts > r.cfg.Settings.Limits.MaxAttempts:
+	case c.attempts > c.set.Limits.MaxAttempts:
 		return "no attempt is left"
 	case now < c.hold:
 		return "the last attempt may still hold something"
