Answer no to OPTIONS while draining or ending, as the door does

Seen: 'told to drain, and 4 s later it still said that it takes work', though ready was 503 at the door. Ruled out by the log: the drain was taken, nobody asked at the door. The front asks ten times a second by OPTIONS, which front.go answered 200 always.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,6 +161,9 @@
 	return err
 }
 
+// Leaving says whether callers are told to go elsewhere. It is for the loop's own goroutine.
+func (n *Node) Leaving() bool { return n.life.Leaving() }
+
 // Door is where operators call; the zero value where they cannot.
 func (n *Node) Door() netip.AddrPort {
 	if n.door == nil {
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -370,7 +370,11 @@
 			k.f.router.Release(string(m.callID))
 		}
 	case "OPTIONS":
-		k.answer(reply(k.f.buf[:0], 200, m))
+		status := 200
+		if k.f.life.Leaving() { // whoever asks sends its callers elsewhere
+			status = 503
+		}
+		k.answer(reply(k.f.buf[:0], status, m))
 	default:
 		k.refuse(501)
 	}
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -70,6 +70,9 @@
 // Ready says whether callers may be sent here.
 func (p *Process) Ready() bool { return p.State() == Serving }
 
+// Leaving says whether callers who ask are told to go elsewhere: the process drains or ends.
+func (p *Process) Leaving() bool { return p.drained || p.ending }
+
 // Drain begins a drain; one that has begun goes on as it is. changed is false where nothing has changed.
 func (p *Process) Drain(now time.Duration) (changed bool, err error) {
 	if p.ending {
