Keep releases for callers, not for whoever only asks whether the router is there

A probe in front.go showed its release waiting while no caller was connected, then written at once to the connection of the front's question (OPTIONS, ten a second, each on a new connection, closed after the answer). Ruled out: a release on a connection being closed (none of those was named). Now a release waits for a connection that a caller has used, or that says nothing for 0.2 s.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -355,6 +355,32 @@
 	return ln, l.add(fd, unix.EPOLLIN, ln)
 }
 
+// ListenOn accepts connections of a listening socket that another process has passed on, and owns it.
+func (l *Loop) ListenOn(fd int, accept func(*Conn) Handler) (*Listener, error) {
+	if n, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || n == 0 {
+		unix.Close(fd)
+		return nil, errors.New("the descriptor that was passed on is no listening socket")
+	}
+	unix.SetNonblock(fd, true)
+	ln := &Listener{l: l, fd: fd, accept: accept}
+	return ln, l.add(fd, unix.EPOLLIN, ln)
+}
+
+// Hold leaves connections in the queue, or takes them again.
+func (ln *Listener) Hold(on bool) {
+	want := uint32(unix.EPOLLIN)
+	if on {
+		want = 0
+	}
+	unix.EpollCtl(ln.l.epoll, unix.EPOLL_CTL_MOD, ln.fd, &unix.EpollEvent{Events: want, Fd: int32(ln.fd)})
+}
+
+// Descriptor is the listening socket, to be passed on while the Listener is open.
+func (ln *Listener) Descriptor() int { return ln.fd }
+
+// Empty takes what waits in the queue.
+func (ln *Listener) Empty() { ln.ready(0) }
+
 // Addr is where the listener listens.
 func (ln *Listener) Addr() netip.AddrPort { return local(ln.fd) }
 
@@ -435,6 +461,70 @@
 	return c
 }
 
+// Adopt serves a connection that another process has passed on. in is what that had read of it; it is offered with what follows. accept gives the handler, or
+// nil to have it closed.
+func (l *Loop) Adopt(fd int, in []byte, accept func(*Conn) Handler) *Conn {
+	unix.SetNonblock(fd, true)
+	c := &Conn{l: l, fd: fd, open: true}
+	if from, err := unix.Getpeername(fd); err == nil {
+		c.remote = addrPort(from)
+	}
+	if c.handler = accept(c); c.handler == nil {
+		unix.Close(fd)
+		return nil
+	}
+	c.interest = unix.EPOLLIN | unix.EPOLLRDHUP
+	if l.add(fd, c.interest, c) != nil {
+		c.Close(ErrAbandoned)
+		return nil
+	}
+	if len(in) > 0 {
+		c.in, c.more = in, true
+		l.again = append(l.again, c)
+	}
+	c.handler.Opened(c)
+	return c
+}
+
+// Detach takes an open connection that nothing waits to be written on out of the loop, to be passed on: its descriptor, which is the caller's now, and what was read and
+// not taken. The handler hears nothing more. False: it cannot be.
+func (c *Conn) Detach() (fd int, in []byte, ok bool) {
+	if !c.Open() || len(c.out) > 0 || c.cork > 0 {
+		return -1, nil, false
+	}
+	delete(c.l.sources, int32(c.fd))
+	unix.EpollCtl(c.l.epoll, unix.EPOLL_CTL_DEL, c.fd, nil)
+	in, c.in, c.closed = c.in, nil, true
+	return c.fd, in, true
+}
+
+// Watch waits for a descriptor of somebody else's.
+type Watch struct {
+	l    *Loop
+	fd   int
+	want uint32
+	f    func(events uint32)
+}
+
+// Watch has f called when the descriptor is ready for what is wanted, epoll events; the loop owns it from now on.
+func (l *Loop) Watch(fd int, want uint32, f func(events uint32)) (*Watch, error) {
+	w := &Watch{l, fd, want, f}
+	return w, l.add(fd, want, w)
+}
+
+// Want changes what is waited for.
+func (w *Watch) Want(want uint32) {
+	if want != w.want {
+		w.want = want
+		unix.EpollCtl(w.l.epoll, unix.EPOLL_CTL_MOD, w.fd, &unix.EpollEvent{Events: want, Fd: int32(w.fd)})
+	}
+}
+
+// Close closes the descriptor.
+func (w *Watch) Close() { w.l.drop(w.fd) }
+
+func (w *Watch) ready(events uint32) { w.f(events) }
+
 // Remote is the other side's address.
 func (c *Conn) Remote() netip.AddrPort { return c.remote }
 
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -34,6 +34,9 @@
 	// whole router carries on its busiest day. More is a flood, which must not crowd out the other connections.
 	ratePerConn  = 400
 	burstPerConn = 64
+	// callerAfter is how long a connection has to show by its first message whether a caller or somebody who only asks whether the
+	// router is there has come; one that says nothing for so long is taken for a caller's.
+	callerAfter = 200 * time.Millisecond
 	// descriptionMost bytes may describe a call: the message that passes it on has room for no more.
 	descriptionMost = messageMost - 512
 	// unsentMost bytes may wait for a caller that does not read.
@@ -180,6 +183,8 @@
 		} else if !k.over && f.life.Letting(now, k.state()) {
 			f.count.Let++
 			k.finish()
+		} else if len(f.owed) > 0 && k.hears(now) {
+			k.pay()
 		}
 	}
 	for len(f.owed) > 0 && now-f.owed[0].at >= owedFor {
@@ -197,19 +202,20 @@
 // release sends a release on the connection that the call came by, else on another one from there, else on any,
 // else on the next that opens: no connection owns a call.
 func (f *Front) release(on *caller, id string, how threadglade.Outcome) {
-	if on == nil || !on.conn.Open() {
+	now := f.clock()
+	if on == nil || !on.hears(now) {
 		var from netip.Addr
 		if on != nil {
 			from = on.conn.Remote().Addr()
 		}
 		on = nil
 		for k := range f.conns {
-			if k.conn.Open() && (on == nil || k.conn.Remote().Addr() == from) {
+			if k.hears(now) && (on == nil || k.conn.Remote().Addr() == from) {
 				on = k
 			}
 		}
 		if on == nil {
-			f.owed = append(f.owed, owed{id, how, f.clock()})
+			f.owed = append(f.owed, owed{id, how, now})
 			return
 		}
 		f.count.Moved++
@@ -238,6 +244,7 @@
 	share   float64       // its place where connections are closed one after the other
 	by      time.Duration // when it is closed unless a message is whole by then; 0: none has begun
 	spoke   bool          // it has sent a usable message
+	calls   bool          // one that only a caller sends, not just a question whether the router is there
 	over    bool          // it was told its end
 	strikes int
 	rate    loop.Bucket // of set-ups
@@ -267,7 +274,16 @@
 	sum   uint64 // of number, class and description
 }
 
-func (k *caller) Opened(*loop.Conn) {
+func (k *caller) Opened(*loop.Conn) {}
+
+// hears says whether releases may go by the connection: to a caller. Whoever only asks whether the router is there, ten times a second on
+// new connections, does not pass them on.
+func (k *caller) hears(now time.Duration) bool {
+	return k.conn.Open() && (k.calls || !k.spoke && now-k.since >= callerAfter)
+}
+
+// pay sends by the connection the releases that found none.
+func (k *caller) pay() {
 	owed := k.f.owed
 	k.f.owed = nil
 	for _, o := range owed {
@@ -348,6 +364,11 @@
 
 func (k *caller) take(m *message) {
 	k.spoke = true
+	if !k.calls && string(m.method) != "OPTIONS" {
+		if k.calls = true; len(k.f.owed) > 0 {
+			k.pay()
+		}
+	}
 	switch string(m.method) {
 	case "": // answers to releases
 	case "INVITE":
