Keep the last caller's connection of a drain for releases, and take set-ups for 3 s of it

What came after 1.9 s and is open at 3.8 s ends there, so that no young request is held 4 s after the call.

--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -75,8 +75,8 @@
 // FrontCounters count what came from callers and went to them. Open and Owed are what is held now: connections,
 // and releases without one.
 type FrontCounters struct {
-	Accepted, Turned, Evicted, Late, Messages, Malformed, Flooded, Answers, Releases, Moved, Let, Drained uint64
-	Open, Owed                                                                                            int
+	Accepted, Turned, Evicted, Late, Messages, Malformed, Flooded, Answers, Releases, Moved, Let, Drained, Overstayed uint64
+	Open, Owed                                                                                                        int
 }
 
 // owed is a release without a connection to send it on.
@@ -177,6 +177,12 @@
 func (f *Front) sweep() {
 	now := f.clock()
 	for k := range f.conns {
+		for id, l := range k.open {
+			if f.life.Overstays(now, l.came) {
+				f.count.Overstayed++
+				f.router.Abandon(l, id)
+			}
+		}
 		if k.by > 0 && now >= k.by || k.conn.Unsent() > unsentMost {
 			f.count.Late++
 			k.conn.Close(loop.ErrSlow)
@@ -253,7 +259,14 @@
 
 // state is what decides whether the connection is let go.
 func (k *caller) state() lifecycle.Conn {
-	return lifecycle.Conn{Open: len(k.open), Since: k.since, Heard: k.heard, Share: k.share}
+	last := k.f.life.Leaving()
+	for other := range k.f.conns {
+		if !last {
+			break
+		}
+		last = other == k || !other.hears(k.f.clock())
+	}
+	return lifecycle.Conn{Open: len(k.open), Since: k.since, Heard: k.heard, Share: k.share, Last: last}
 }
 
 // standing orders connections by who goes first.
@@ -270,6 +283,7 @@
 // leg is one set-up as its caller sees it; it is the request's front.
 type leg struct {
 	on    *caller
+	came  time.Duration
 	route out    // what answers repeat
 	sum   uint64 // of number, class and description
 }
@@ -437,7 +451,7 @@
 		k.answer(b.body(nil))
 		return true
 	}
-	l := &leg{on: k, route: out(nil).route(m), sum: sum}
+	l := &leg{on: k, came: k.heard, route: out(nil).route(m), sum: sum}
 	if k.open == nil {
 		k.open = map[string]*leg{}
 	}
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -14,9 +14,15 @@
 	settle = 400 * time.Millisecond
 	// spread is the time over which idle connections are closed, so that their callers do not turn elsewhere at once.
 	spread = 1200 * time.Millisecond
-	// busyUntil is how long after a drain began set-ups are taken on a connection that has had some open ever since. What comes
-	// later could be younger than 2 s when, 4 s after the drain began, no such connection may be left.
-	busyUntil = 1900 * time.Millisecond
+	// busyUntil is how long after a drain began set-ups are taken on connections that are still there; later ones would hardly be
+	// answered in time.
+	busyUntil = 3 * time.Second
+	// youngFrom and youngUntil: 4 s after a drain began no connection may be left with a set-up of the last 2 s. Those that came from youngFrom
+	// on and are still open at youngUntil end there.
+	youngFrom  = 1900 * time.Millisecond
+	youngUntil = 3800 * time.Millisecond
+	// lastUntil is how long the last connection that callers have is kept for the releases of calls that stand.
+	lastUntil = 3600 * time.Millisecond
 	// quiet is how long a connection that has come during a drain may say nothing.
 	quiet = 300 * time.Millisecond
 )
@@ -116,6 +122,7 @@
 	Since time.Duration // when it was accepted
 	Heard time.Duration // when it last sent something
 	Share float64       // its place in the spread, from 0 to 1
+	Last  bool          // releases of calls that stand have no other way
 }
 
 // Letting says whether the connection is to be closed now because the process drains: once callers have somewhere else to go,
@@ -124,6 +131,9 @@
 	if !p.drained || p.ending || c.Open > 0 {
 		return false
 	}
+	if c.Last && now < p.since+lastUntil {
+		return false
+	}
 	if c.Since > p.since { // it may be about to send its first set-up
 		return now >= max(c.Heard, c.Since)+quiet && now >= p.since+settle
 	}
@@ -132,10 +142,15 @@
 
 // LettingAnswered is Letting for a connection whose last open set-up was answered just now: it has had its time.
 func (p *Process) LettingAnswered(now time.Duration, c Conn) bool {
-	return p.drained && !p.ending && c.Open == 0 && now >= p.since+settle
+	return p.drained && !p.ending && c.Open == 0 && now >= p.since+settle && !(c.Last && now < p.since+lastUntil)
 }
 
 // Turning says whether a set-up that comes now on the connection is turned away because it would hold the connection too long.
 func (p *Process) Turning(now time.Duration, c Conn) bool {
 	return p.drained && !p.ending && now >= p.since+busyUntil
 }
+
+// Overstays says whether a set-up that came at a time and is still open has to end now for its connection to be free in time.
+func (p *Process) Overstays(now, came time.Duration) bool {
+	return p.drained && !p.ending && came >= p.since+youngFrom && now >= p.since+youngUntil
+}
--- a/router/router.go
+++ b/router/router.go
@@ -291,6 +291,18 @@
 	})
 }
 
+// Abandon says that a front cannot wait any longer for the answer to its request: it fails now, as at its deadline.
+func (r *Router) Abandon(front Front, id string) {
+	r.do(nil, func([]byte) {
+		if c := r.calls[id]; c != nil && !c.final && c.front == front {
+			r.observeDecision(Failed, c, c.attempt.Server, threadglade.OutOfTime, Event{Why: DeadlinePast})
+			r.count.Failed++
+			c.front.Failed(id, DeadlinePast)
+			r.leave(c)
+		}
+	})
+}
+
 // Release says that the caller has released a standing call. One that this router never knew is of an earlier
 // life and is handed to Stray, once.
 func (r *Router) Release(id string) {
