Hand listener and callers' connections over to a new version beside the old one

Now the new one stands by, gets the listening socket over a Unix socket in TMPDIR and, as the old one is told to end, every caller's connection with what was read of it; answers that the old one owes go through the new one, CANCELs and ends of connections back. lifecycle.Elder and Heir decide, internal/handover frames, internal/sip/across.go speaks for the fronts. Without a successor the old one empties its queue and closes idle connections before it ends.

Ruled out: a pause before the new one says yes; it is ready within 0.1 s.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -39,6 +39,8 @@
 
 	tree any // the file, but for the list, to see which keys a later one has lost
 
+	Handover string // the folder that it shares with the process that takes its place; empty: none does
+
 	Product Product    // the product's own settings; everything in it is off unless it says so
 	FS      durable.FS // nil: the operating system's
 }
@@ -136,6 +138,9 @@
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
+	if c.Mgmt.IsValid() { // only where operators run it by the door is one version put in another's place
+		c.Handover = os.Getenv("TMPDIR")
+	}
 	return c, nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,8 @@
 const (
 	// stayFor is how long a router that was told to end still takes what callers send it.
 	stayFor = 750 * time.Millisecond
+	// partFor is how long idle callers have to hear that their connections end: a set-up that crosses a close within 50 ms is sent again.
+	partFor = 60 * time.Millisecond
 	// flushFor is how long answers that were given may still wait for callers who read slowly, at the end.
 	flushFor = 500 * time.Millisecond
 	// memoryPart of the limit is the most that the collector lets the heap come to.
@@ -56,6 +58,8 @@
 	trunk  *sip.Trunk
 	names  *registry.Client
 	listen *loop.Listener
+	other  *loop.Listener // of the second front; nil where it is off
+	turn   turnover
 	life   *lifecycle.Process
 	door   *mgmt.Door        // nil where it is off
 	ledger *ledgerio.Carrier // nil where it is off
@@ -87,11 +91,14 @@
 		return nil, err
 	}
 	n := &Node{Loop: l, clock: clock, log: log, config: c, life: &lifecycle.Process{}}
+	inherited, err := n.ask()
+	if err != nil {
+		return nil, err
+	}
 	n.trunk = sip.NewTrunk(sip.TrunkConfig{Loop: l, Clock: clock, ConnectTimeout: c.ConnectTimeout, Free: c.Free,
 		Total: c.Total, Log: log, Loads: c.Product.Trace != nil})
 	rc := router.Config{Settings: c.Settings, Seed: c.Seed, Clock: clock, Trunk: n.trunk, Log: log,
-		Orphan: func(id string, how threadglade.Outcome) { n.front.Orphan(id, how) },
-		Stray:  n.trunk.ReleaseAnywhere}
+		Orphan: n.orphan, Stray: n.stray}
 	if c.Product.Ledger != nil {
 		if err := n.openLedger(&rc); err != nil {
 			return nil, err
@@ -125,7 +132,7 @@
 		return nil, err
 	}
 	n.life.Listed()
-	if n.listen, err = l.Listen(c.Listen, n.front.Accept); err != nil {
+	if err = n.open(inherited); err != nil {
 		return nil, err
 	}
 	n.life.Listening()
@@ -181,10 +188,16 @@
 		return netip.AddrPort{}, fmt.Errorf("call control: sockets: %w", err)
 	}
 	n.second = callcontrol.New(c, classes, n.Router, n.clock, verify, n.log)
-	listen, err := n.Loop.Listen(c.Addr, n.second.Accept)
+	open := n.Loop.Listen
+	if n.config.Handover != "" {
+		open = n.Loop.ListenShared
+	}
+	listen, err := open(c.Addr, n.second.Accept)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
+	listen.Hold(n.turn.heir.Standby())
+	n.other = listen
 	n.log.Info().Str("event", "callcontrol_serving").Msgf("call control on %s", listen.Addr())
 	return listen.Addr(), nil
 }
@@ -217,18 +230,33 @@
 	return err
 }
 
-// Shutdown ends Run once nothing is owed, and not before callers have had time to turn elsewhere.
+// Shutdown ends Run once nothing is owed, and not before callers have had time to turn elsewhere. Where another process stands by, it is asked to
+// take the callers.
 func (n *Node) Shutdown() {
 	n.log.Info().Str("event", "ending").Msgf("told to end: %d requests open", n.Router.Open())
 	n.life.End(n.clock())
 	earliest := n.clock() + stayFor
 	latest := earliest + flushFor
+	n.handOver()
+	closing := false
 	var look func()
 	look = func() {
 		if n.Router.Open() > 0 {
 			latest = max(latest, n.clock()+flushFor)
 		}
-		if n.Router.Open() == 0 && n.clock() >= earliest && (!n.front.Unsent() || n.clock() >= latest) {
+		over := n.Router.Open() == 0 && n.clock() >= earliest && (!n.front.Unsent() || n.clock() >= latest)
+		switch {
+		case n.turn.elder.Handing():
+			over = n.handed()
+		case over && !closing: // what has been accepted for this process is taken, and idle callers hear the end before it comes
+			closing, over = true, false
+			n.listen.Empty()
+			n.listen.Close()
+			n.life.Closing()
+			n.front.LetGo()
+			earliest = n.clock() + partFor
+		}
+		if over {
 			if n.second != nil {
 				n.second.Close()
 			}
@@ -329,6 +357,9 @@
 	if n.door != nil {
 		text += fmt.Sprintf(" mgmt=%+v", n.door.Counters())
 	}
+	if n.turn.path != "" {
+		text += fmt.Sprintf(" handover=%+v", n.turn.counters())
+	}
 	if n.second != nil {
 		text += fmt.Sprintf(" callcontrol=%+v", n.second.Counters())
 	}
--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -599,6 +599,8 @@
 	run("s0 send 200 INVITE c1 Body=x")
 	run("a expect 200 INVITE c1")
 	run("wait 50ms")
+	run("b expect closed") // told its end before the process ends
+	run("wait 100ms")
 	require.NoError(t, <-w.ended)
 	w.ended <- nil
 	require.Contains(t, w.log(), "requests=2 repeated=0 left=0 stood=2")
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -67,6 +67,10 @@
 	set     int // connections set aside for another front
 	conns   map[*caller]bool
 	owed    []owed
+	across  Across             // to the process that takes this one's place; nil: none does
+	passed  uint32             // connections passed on
+	away    map[uint32]*caller // passed on, with set-ups that are still open here
+	there   map[uint32]*caller // with set-ups that are open at the process before this one
 	buf     out
 	seed    maphash.Seed
 	count   FrontCounters
@@ -75,8 +79,8 @@
 // FrontCounters count what came from callers and went to them. Open and Owed are what is held now: connections,
 // and releases without one.
 type FrontCounters struct {
-	Accepted, Turned, Evicted, Late, Messages, Malformed, Flooded, Answers, Releases, Moved, Let, Drained, Overstayed uint64
-	Open, Owed                                                                                                        int
+	Accepted, Turned, Evicted, Late, Messages, Malformed, Flooded, Answers, Releases, Moved, Let, Drained, Overstayed, Passed, Adopted uint64
+	Open, Owed                                                                                                                         int
 }
 
 // owed is a release without a connection to send it on.
@@ -88,7 +92,7 @@
 
 // NewFront makes a front; Start begins its watch over deadlines.
 func NewFront(c FrontConfig) *Front {
-	f := &Front{router: c.Router, clock: c.Clock, sockets: c.Sockets, conns: map[*caller]bool{}, seed: maphash.MakeSeed(), life: c.Life}
+	f := &Front{router: c.Router, clock: c.Clock, sockets: c.Sockets, conns: map[*caller]bool{}, away: map[uint32]*caller{}, there: map[uint32]*caller{}, seed: maphash.MakeSeed(), life: c.Life}
 	if f.life == nil {
 		f.life = &lifecycle.Process{}
 	}
@@ -153,7 +157,7 @@
 	if len(f.conns) >= f.most() {
 		var idle *caller
 		for k := range f.conns {
-			if len(k.open) == 0 && (idle == nil || k.standing() < idle.standing() ||
+			if len(k.open)+len(k.there) == 0 && (idle == nil || k.standing() < idle.standing() ||
 				k.standing() == idle.standing() && k.heard < idle.heard) {
 				idle = k
 			}
@@ -165,6 +169,11 @@
 		f.count.Evicted++
 		idle.conn.Close(loop.ErrAbandoned)
 	}
+	return f.caller(c, now)
+}
+
+// caller is a connection that begins.
+func (f *Front) caller(c *loop.Conn, now time.Duration) *caller {
 	f.count.Accepted++
 	_, share := math.Modf(float64(f.count.Accepted) * math.Phi) // evenly spread, however many there are
 	k := &caller{f: f, conn: c, since: now, heard: now, by: now + wholeWithin, share: share,
@@ -202,33 +211,60 @@
 	f.router.At(now+sweepEvery, f.sweep)
 }
 
+// LetGo closes connections that may go, without waiting for the next look at them.
+func (f *Front) LetGo() {
+	now := f.clock()
+	for k := range f.conns {
+		if !k.over && f.life.Letting(now, k.state()) {
+			f.count.Let++
+			k.finish()
+		}
+	}
+}
+
 // Orphan passes on the release of a call of an earlier life of this router.
 func (f *Front) Orphan(id string, how threadglade.Outcome) { f.release(nil, id, how) }
 
 // release sends a release on the connection that the call came by, else on another one from there, else on any,
-// else on the next that opens: no connection owns a call.
+// else by the process that has taken the callers over, else on the next that opens: no connection owns a call.
 func (f *Front) release(on *caller, id string, how threadglade.Outcome) {
+	if on != nil && on.hears(f.clock()) {
+		f.count.Releases++
+		f.buf = bye(f.buf[:0], id, 1, how)
+		on.conn.Write(f.buf)
+		return
+	}
+	var from netip.Addr
+	if on != nil {
+		from = on.conn.Remote().Addr()
+	}
+	f.hand(from, id, how)
+}
+
+// hand sends a release of a call that came from an address on whatever connection there is.
+func (f *Front) hand(from netip.Addr, id string, how threadglade.Outcome) {
 	now := f.clock()
-	if on == nil || !on.hears(now) {
-		var from netip.Addr
-		if on != nil {
-			from = on.conn.Remote().Addr()
-		}
-		on = nil
-		for k := range f.conns {
-			if k.hears(now) && (on == nil || k.conn.Remote().Addr() == from) {
-				on = k
-			}
+	var on *caller
+	for k := range f.conns {
+		if k.hears(now) && (on == nil || k.conn.Remote().Addr() == from) {
+			on = k
 		}
-		if on == nil {
-			f.owed = append(f.owed, owed{id, how, now})
+	}
+	f.count.Moved++
+	if on != nil {
+		f.count.Releases++
+		f.buf = bye(f.buf[:0], id, 1, how)
+		on.conn.Write(f.buf)
+		return
+	}
+	if f.across != nil {
+		addr := from.AsSlice()
+		if f.across.Send(frameRelease, append(append([]byte{byte(how), byte(len(addr))}, addr...), id...), -1, false) {
 			return
 		}
-		f.count.Moved++
 	}
-	f.count.Releases++
-	f.buf = bye(f.buf[:0], id, 1, how)
-	on.conn.Write(f.buf)
+	f.count.Moved--
+	f.owed = append(f.owed, owed{id, how, now})
 }
 
 // bye writes a release.
@@ -253,7 +289,11 @@
 	calls   bool          // one that only a caller sends, not just a question whether the router is there
 	over    bool          // it was told its end
 	strikes int
-	rate    loop.Bucket // of set-ups
+	rate    loop.Bucket     // of set-ups
+	passed  uint32          // its number with the other process, once it was passed on; 0: it was not
+	there   map[string]bool // set-ups that came by it and are open at the process before this one; nil while there is none
+	elder   Across          // the way to that
+	away    uint32          // its number there
 	m       message
 }
 
@@ -266,7 +306,7 @@
 		}
 		last = other == k || !other.hears(k.f.clock())
 	}
-	return lifecycle.Conn{Open: len(k.open), Since: k.since, Heard: k.heard, Share: k.share, Last: last}
+	return lifecycle.Conn{Open: len(k.open) + len(k.there), Since: k.since, Heard: k.heard, Share: k.share, Last: last}
 }
 
 // standing orders connections by who goes first.
@@ -309,6 +349,7 @@
 
 func (k *caller) Closed(*loop.Conn, error) {
 	delete(k.f.conns, k)
+	k.gone()
 	k.leave()
 }
 
@@ -334,7 +375,9 @@
 	}
 	if len(k.m.headers) > 0 { // else it was white space between messages
 		k.f.count.Messages++
-		k.take(&k.m)
+		if len(k.there) == 0 || !k.elders(&k.m, b[:n]) {
+			k.take(&k.m)
+		}
 		if k.spoke && !k.over {
 			k.by = 0
 		}
@@ -358,6 +401,7 @@
 	if !k.over {
 		k.over, k.by = true, k.f.clock()+lingerFor
 		k.conn.Finish()
+		k.gone()
 		k.leave()
 	}
 }
@@ -371,8 +415,14 @@
 	}
 }
 
-func (k *caller) answer(b out) {
-	k.f.buf = b
+func (k *caller) answer(b out) { k.final("", b) }
+
+// final writes what ends a set-up, or with no id anything else.
+func (k *caller) final(id string, b out) {
+	if k.f.buf = b; k.passed > 0 {
+		k.send(id, b)
+		return
+	}
 	k.conn.Write(b)
 }
 
@@ -395,9 +445,9 @@
 		// Only whoever sent a set-up can give it up; others may name its id by chance or malice.
 		id := string(m.callID)
 		if l := k.open[id]; l != nil {
-			k.answer(append(response(k.f.buf[:0], 487), l.route...).body(nil))
 			delete(k.open, id)
 			k.f.router.Leave(l, id)
+			k.final(id, append(response(k.f.buf[:0], 487), l.route...).body(nil))
 		}
 	case "BYE":
 		k.answer(reply(k.f.buf[:0], 200, m))
@@ -501,7 +551,7 @@
 		l.on.open = nil
 	}
 	l.on.f.count.Answers++
-	l.on.answer(b)
+	l.on.final(id, b)
 	if l.on.f.life.LettingAnswered(l.on.f.clock(), l.on.state()) && !l.on.over {
 		l.on.f.count.Let++
 		l.on.finish()
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -50,6 +50,8 @@
 	listening, listed bool
 	drained           bool
 	ending            bool
+	succeeded         bool          // another process takes the callers
+	closing           bool          // no caller comes any more
 	since             time.Duration // when the present drain or end began
 	changes           uint64
 }
@@ -76,8 +78,11 @@
 // Ready says whether callers may be sent here.
 func (p *Process) Ready() bool { return p.State() == Serving }
 
-// Leaving says whether callers who ask are told to go elsewhere: the process drains or ends.
-func (p *Process) Leaving() bool { return p.drained || p.ending }
+// Leaving says whether callers who ask are told to go elsewhere: the process drains, or ends and nobody takes its place.
+func (p *Process) Leaving() bool { return p.drained || p.ending && !p.succeeded }
+
+// Succeeded says whether another process takes the callers of one that ends.
+func (p *Process) Succeeded(yes bool) { p.succeeded = yes }
 
 // Drain begins a drain; one that has begun goes on as it is. changed is false where nothing has changed.
 func (p *Process) Drain(now time.Duration) (changed bool, err error) {
@@ -125,9 +130,15 @@
 	Last  bool          // releases of calls that stand have no other way
 }
 
+// Closing says that a process that ends takes no new callers any more: what is idle goes, and the rest as it is answered.
+func (p *Process) Closing() { p.closing = p.ending }
+
 // Letting says whether the connection is to be closed now because the process drains: once callers have somewhere else to go,
 // in its place of the spread, and never while it is owed an answer.
 func (p *Process) Letting(now time.Duration, c Conn) bool {
+	if p.closing {
+		return c.Open == 0
+	}
 	if !p.drained || p.ending || c.Open > 0 {
 		return false
 	}
@@ -142,7 +153,7 @@
 
 // LettingAnswered is Letting for a connection whose last open set-up was answered just now: it has had its time.
 func (p *Process) LettingAnswered(now time.Duration, c Conn) bool {
-	return p.drained && !p.ending && c.Open == 0 && now >= p.since+settle && !(c.Last && now < p.since+lastUntil)
+	return p.closing && c.Open == 0 || p.drained && !p.ending && c.Open == 0 && now >= p.since+settle && !(c.Last && now < p.since+lastUntil)
 }
 
 // Turning says whether a set-up that comes now on the connection is turned away because it would hold the connection too long.
--- a/router/clone.go
+++ b/router/clone.go
@@ -29,7 +29,7 @@
 	}
 	cfg.Settings, cfg.Seed = *r.inForce, r.cfg.Seed
 	d := &Router{cfg: cfg, control: r.control.Clone(), inForce: r.inForce, calls: make(map[string]*call, len(r.calls)), servers: make(map[string]*server, len(r.servers)),
-		over: maps.Clone(r.over), overAt: slices.Clone(r.overAt), lapsing: r.lapsing, strays: r.strays, second: r.second, count: r.count,
+		over: maps.Clone(r.over), overAt: slices.Clone(r.overAt), lapsing: r.lapsing, strays: r.strays, second: r.second, foreign: r.foreign, count: r.count,
 		slots: slices.Clone(r.slots), slot: r.slot, timers: slices.Clone(r.timers), order: r.order, taken: r.taken}
 	d.open.Store(r.open.Load())
 	copies := map[*call]*call{}
--- a/router/router.go
+++ b/router/router.go
@@ -133,6 +133,7 @@
 	overAt  []past
 	lapsing bool          // a timer is set that forgets the oldest
 	strays  int           // passed on in the second that began at
+	foreign int           // beyond that, of calls of the process before this one
 	second  time.Duration // then
 	count   Counters
 	open    atomic.Int64
@@ -331,9 +332,16 @@
 		r.second, r.strays = now, 0
 	}
 	r.strays++
+	if r.strays > straysMost && r.foreign > 0 {
+		r.foreign--
+		return true
+	}
 	return r.strays <= straysMost
 }
 
+// Foreign says how many calls of another process may be released here beyond what is allowed anyhow.
+func (r *Router) Foreign(calls int) { r.do(nil, func([]byte) { r.foreign += calls }) }
+
 func (r *Router) leave(c *call) {
 	r.settle(c)
 	if mutant == "left-told" && c.left {
