Replace a connection that misses a report, and cut what waits on it once the server speaks

Checked with traces: refusals are 'on trial', one silent connection stops its server for 1.5 s and longer; gaps in what a healthy server says stay under 0.51 s. At fault: trunk.go's fixed silentAfter, and attempts left on the old connection; controller.go's probe only above 20 calls a second.

The first scenario test fails without the change of trunk.go.

--- a/controller.go
+++ b/controller.go
@@ -683,7 +683,7 @@
 			s.overdue = append(s.overdue, k)
 			s.trial, s.probe = 1, c.now+forgetAfter
 			// Where calls are many, one more soon shows whether this one was lost.
-			if s.lambda() > 5*usual {
+			if s.lambda() > 2*usual {
 				s.probe = c.now + k.stopAge()<<min(len(s.overdue)-1, 6)
 			}
 		}
--- a/internal/scenario/operations_test.go
+++ b/internal/scenario/operations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -301,3 +302,45 @@
 a expect 200 INVITE c1`,
 	})
 }
+
+// tells has a server tell its state so many times, half a second apart.
+func tells(times int) string {
+	return strings.Repeat("s0 send NOTIFY s Link-State=idle:9;circuits:9\nwait 500ms\n", times)
+}
+
+// Connections that go silent under set-ups while their server lives.
+func TestSilentConnection(t *testing.T) {
+	playAll(t, map[string]string{
+		"one that misses a report is replaced, and cut once the server speaks on the new one": two + tells(10) + `
+a open
+a send INVITE c1
+s0 expect INVITE c1
+wait 900ms
+s0 send NOTIFY s Link-State=idle:9;circuits:9
+log "silent connection"
+wait 300ms
+s1 expect INVITE c1
+s1 send 200 INVITE c1
+a expect 200 INVITE c1
+a send INVITE c2
+s0 expect INVITE c2`,
+
+		"one whose reports come is kept, however slow the answer": open + tells(10) + `
+a open
+a send INVITE c1 Answer-Within=4000
+s0 expect INVITE c1
+` + tells(5) + `
+s0 send 200 INVITE c1
+a expect 200 INVITE c1
+quiet "silent connection"`,
+
+		"a new connection on which nothing comes either cuts nothing": open + tells(10) + `
+a open
+a send INVITE c1 Answer-Within=4000
+s0 expect INVITE c1
+wait 2800ms
+quiet "silent connection"
+s0 send 200 INVITE c1
+a expect 200 INVITE c1`,
+	})
+}
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,6 +21,12 @@
 	// silentAfter is how long a server with calls may say nothing before a new connection has to show that it
 	// is there: its state comes about every second, and a vanished machine leaves its connections open.
 	silentAfter = 1500 * time.Millisecond
+	// muteLeast and muteMargin say when a line has missed a report: a server tells its state on every open connection at its own intervals, and one
+	// that is past the longest of the latest statesKept of them by the margin says nothing any more, whatever else is slow. Until so many are
+	// known, or on a line that has said nothing yet, silentAfter holds.
+	muteLeast  = 300 * time.Millisecond
+	muteMargin = 1.3
+	statesKept = 8
 	// deadAfter is how long a server must have been out of reach before its calls count as cut.
 	deadAfter = 2 * time.Second
 	// watchEvery is how often servers are looked at.
@@ -43,6 +50,9 @@
 // would carry cannot be told either.
 var errSpoilt = errors.New("spoilt message")
 
+// errMute is why a connection is closed that says nothing while its server speaks on a newer one: no answer will come on it.
+var errMute = errors.New("silent connection")
+
 // Server is an entry of the server list with its address.
 type Server struct {
 	threadglade.Server
@@ -78,8 +88,8 @@
 
 // TrunkCounters count what went to case servers and came from them. Peers, Legs and Given are what is held now.
 type TrunkCounters struct {
-	Dials, DialsFailed, Opened, Closed, Invites, Unsent, Cancels, Releases, Messages, Malformed, Cut, Salvaged, States, Crossed, Unknown, Silent uint64
-	Peers, Legs, Given                                                                                                                           int
+	Dials, DialsFailed, Opened, Closed, Invites, Unsent, Cancels, Releases, Messages, Malformed, Cut, Salvaged, States, Crossed, Unknown, Silent, Mute uint64
+	Peers, Legs, Given                                                                                                                                 int
 }
 
 // peer is one server and the connections to it.
@@ -91,11 +101,13 @@
 	dial      *line   // connecting
 	old       []*line // replaced, but with attempts on them
 	lastDial  time.Duration
-	lostSince time.Duration // out of reach since then; 0: in reach
-	pending   []*outLeg     // wait for a connection
-	owed      []string      // calls to be released that found no connection
-	legs      int           // attempts of it in Trunk.legs
-	complains time.Duration // when it was last named in the log for what it sent
+	lostSince time.Duration             // out of reach since then; 0: in reach
+	pending   []*outLeg                 // wait for a connection
+	owed      []string                  // calls to be released that found no connection
+	legs      int                       // attempts of it in Trunk.legs
+	complains time.Duration             // when it was last named in the log for what it sent
+	apart     [statesKept]time.Duration // latest times between two reports on one line
+	reports   int                       // such times there have been
 }
 
 // line is one connection to a peer.
@@ -104,8 +116,11 @@
 	conn  *loop.Conn
 	since time.Duration // when it was opened
 	heard time.Duration
+	asked time.Duration // when the first set-up was sent on it since
 	by    time.Duration // when the message that has begun must be whole, or a dead line closed; 0: neither
-	dead  bool          // something spoilt came on it
+	dead  bool          // something spoilt came on it, or it went silent
+	told  time.Duration // when its server last told its state on it; 0: never
+	mute  *line         // the line before, which has said nothing for too long
 	m     message
 }
 
@@ -276,7 +291,7 @@
 		switch {
 		case p.line == nil:
 			p.connect()
-		case p.legs > 0 && now-p.line.heard > silentAfter:
+		case p.legs > 0 && now-p.line.heard > silentAfter || p.line.silent(now):
 			p.t.count.Silent++
 			p.connect()
 		}
@@ -290,6 +305,14 @@
 	}
 }
 
+// silent says whether the line, on which its server used to tell its state, has missed a report while a set-up waits on it.
+func (l *line) silent(now time.Duration) bool {
+	if l.p.reports < statesKept || l.told == 0 || l.asked <= l.heard {
+		return false
+	}
+	return now-l.asked > min(silentAfter, max(muteLeast, time.Duration(muteMargin*float64(slices.Max(l.p.apart[:])))))
+}
+
 // connect opens a connection that takes the place of the present one once it is up.
 func (p *peer) connect() {
 	if p.dial != nil || p.gone {
@@ -313,6 +336,9 @@
 	if p.lostSince > 0 {
 		p.t.cfg.Log.Info().Str("event", "server_reached").Str("server", p.server.ID).Msgf("server %s is in reach again", p.server.ID)
 	}
+	if p.line != nil && p.line.silent(now) {
+		l.mute = p.line
+	}
 	p.retire()
 	p.dial, p.line, p.lostSince = nil, l, 0
 	pending := p.pending
@@ -407,6 +433,9 @@
 	t := p.t
 	now := t.cfg.Clock()
 	l.on, l.sent = p.line, now
+	if l.on.asked <= l.on.heard {
+		l.on.asked = max(now, l.on.heard+1)
+	}
 	t.count.Invites++
 	b := request(t.buf[:0], "INVITE", l.Number, l.ID, 1, "INVITE").head("Call-Kind", l.Class)
 	b = b.headInt("Answer-Within", max(1, int64((l.Deadline-now)/time.Millisecond))).body(l.Description)
@@ -495,6 +524,12 @@
 	if l.dead {
 		return l.salvage(b)
 	}
+	if old := l.mute; old != nil { // the server speaks, and here
+		if l.mute = nil; old.heard <= l.since && old.conn.Open() && !old.dead {
+			t.count.Mute++
+			old.end(errMute)
+		}
+	}
 	n, err := parse(b, &l.m)
 	switch {
 	case err != nil:
@@ -523,8 +558,14 @@
 // set-up that was out on it may have run; that is its outcome. The end is told first and then awaited, for releases
 // of calls that stand may be on their way.
 func (l *line) spoilt(err error) {
+	l.p.t.count.Malformed++
+	l.end(err)
+	l.p.connect()
+}
+
+// end tells the end of a connection on which nothing can come any more, and cuts what was out on it.
+func (l *line) end(err error) {
 	p, t, now := l.p, l.p.t, l.p.t.cfg.Clock()
-	t.count.Malformed++
 	if p.complains == 0 || now-p.complains >= complainEvery {
 		p.complains = now
 		t.cfg.Log.Warn().Str("event", "server_spoilt").Str("server", p.server.ID).Msgf("server %s: %v, connection closed", p.server.ID, err)
@@ -535,7 +576,6 @@
 		p.retire()
 	}
 	t.count.Cut += uint64(l.cut())
-	p.connect()
 }
 
 // salvage finds the releases among what comes on a dead line; the last bytes may be the beginning of one.
@@ -708,6 +748,13 @@
 		free, told = field(report, "x0")
 		total, sized = field(report, "x1")
 	}
+	if now := t.cfg.Clock(); told && sized {
+		if l.told > 0 {
+			l.p.apart[l.p.reports%statesKept] = now - l.told
+			l.p.reports++
+		}
+		l.told = now
+	}
 	if told && sized && free >= 0 && total >= free && total <= agentsMost { // also no NaN
 		t.count.States++
 		t.router.Agents(threadglade.Agents{Server: l.p.server.ID, Free: int(free), Total: int(total)})
