--- a/internal/scenario/operations_test.go
+++ b/internal/scenario/operations_test.go
@@ -344,3 +344,58 @@
 a expect 200 INVITE c1`,
 	})
 }
+
+// A caller whose set-up comes slowly is told from one that says nothing, or stops half way.
+func TestSlowCallers(t *testing.T) {
+	head := `INVITE sip:1@net SIP/2.0\r\nCall-ID: 0123456789abcdef\r\nCSeq: 1 INVITE\r\nCall-Kind: voice\r\n`
+	tail := `Answer-Within: 3000\r\nRouting-Data: dest:0;width:1;via:-1\r\nContent-Length: 0\r\n`
+	playAll(t, map[string]string{
+		"one that comes over more than 2 s is served": `
+s0 open number=0
+start
+a open
+wait 600ms
+a raw "INVITE sip"
+wait 600ms
+a raw ":1@net SIP/2.0\r\n"
+wait 600ms
+a raw "Call-ID: 0123456789abcdef\r\nCSeq: 1 INVITE\r\nCall-Kind: voice\r\n"
+wait 600ms
+a raw "` + tail + `"
+wait 150ms
+a raw "\r\n"
+s0 expect INVITE #0123456789abcdef
+s0 send 200 INVITE #0123456789abcdef
+a expect 200 INVITE #0123456789abcdef`,
+
+		"one that stops has 2 s, one that never ends 2.75 s": open + `
+b open
+c open
+a raw "` + head + `"
+b raw "` + head + `"
+wait 1s
+b raw "X: y\r\n"
+wait 600ms
+b raw "X: y\r\n"
+wait 500ms
+a expect closed
+b raw "X: y\r\n"
+wait 600ms
+b raw "X: y\r\n"
+wait 200ms
+b expect closed
+c expect closed`,
+
+		// Thousands of idle and half-written connections arrive; whoever comes with a set-up finds room.
+		"a crowd without set-ups keeps no caller out": `
+s0 open number=0
+start sockets=80
+` + crowd("x", 120, `raw "INVITE sip:1@n"`) + `
+a open
+a send INVITE c1
+s0 expect INVITE c1
+` + crowd("y", 60, `raw "\r\n"`) + `
+s0 send 200 INVITE c1
+a expect 200 INVITE c1`,
+	})
+}
--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -424,7 +424,7 @@
 wait 900ms
 c raw "T"
 b expect silence
-wait 200ms
+wait 900ms
 c expect closed
 d open
 wait 2100ms
@@ -432,7 +432,7 @@
 a raw "INV"
 wait 1900ms
 a raw "I"
-wait 200ms
+wait 900ms
 a expect closed`,
 
 	// An error can be read although the body that it refuses is still coming: the end of the connection is told, and
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -24,6 +24,10 @@
 	// first byte until it is whole: far longer than any message takes, short enough that those who say nothing, or
 	// one byte now and then, hold a descriptor no longer. An idle connection that has spoken stays.
 	wholeWithin = 2 * time.Second
+	// slowMore is how much longer a message may take whose bytes keep coming, at least every slowPause: a caller on a slow path. Whoever
+	// says nothing, or stops in the middle, has wholeWithin; all of them hear their end within 3 s of connecting.
+	slowMore  = 750 * time.Millisecond
+	slowPause = 700 * time.Millisecond
 	// lingerFor is how long a connection that was told its end may go on sending.
 	lingerFor = 2500 * time.Millisecond
 	// sweepEvery is how often connections are looked at.
@@ -192,7 +196,7 @@
 				f.router.Abandon(l, id)
 			}
 		}
-		if k.by > 0 && now >= k.by || k.conn.Unsent() > unsentMost {
+		if k.by > 0 && now >= k.by && !k.slow(now) || k.conn.Unsent() > unsentMost {
 			f.count.Late++
 			k.conn.Close(loop.ErrSlow)
 		} else if !k.over && f.life.Letting(now, k.state()) {
@@ -297,6 +301,11 @@
 	m       message
 }
 
+// slow says whether a message that is past its time may still become whole.
+func (k *caller) slow(now time.Duration) bool {
+	return !k.over && now < k.by+slowMore && now-k.heard < slowPause
+}
+
 // state is what decides whether the connection is let go.
 func (k *caller) state() lifecycle.Conn {
 	last := k.f.life.Leaving()
