Hear every release at a change of process: tell a replaced line its end, open new lines

Now a replaced line is ended by a half close and read for 0.5 s, releases on it are confirmed on the present one, and whoever follows a process that has gone connects anew. A process that stands by says yes once all servers have told their state, 1 s at most.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,13 @@
 // operated is the node as its operators' door knows it.
 type operated struct{ n *Node }
 
-func (o operated) Ready() (bool, string) { return o.n.life.Ready(), o.n.life.State().String() }
+func (o operated) Ready() (bool, string) {
+	// Who stands by will have all callers at once: it first hears from the case servers what they have free.
+	if n := o.n; n.turn.heir.Standby() && n.life.Ready() && n.clock() < n.turn.began+reachWithin && !n.trunk.Reached() {
+		return false, "standing by, case servers are not reached yet"
+	}
+	return o.n.life.Ready(), o.n.life.State().String()
+}
 
 func (o operated) Drain() error {
 	changed, err := o.n.life.Drain(o.n.clock())
--- a/internal/node/turnover.go
+++ b/internal/node/turnover.go
@@ -25,6 +25,8 @@
 	frameTaken = sip.FrameOwner + 1
 	// busyEvery is how often a process asks again that has found another one about to take over.
 	busyEvery = 100 * time.Millisecond
+	// reachWithin is how long a process that stands by may take to hear from all case servers before it says that it could serve.
+	reachWithin = time.Second
 	// lingerAfter the longest deadline a process that has handed its callers over ends, whatever still stands there.
 	lingerAfter = time.Second
 )
@@ -38,6 +40,7 @@
 	next  *handover.Link  // to the process that takes this one's place; nil: none stands by
 	last  *handover.Link  // to the one whose place this takes; nil: there is none, any more
 	since time.Duration   // when the callers were handed over
+	began time.Duration   // when this process began to stand by
 	count turnCounters
 }
 
@@ -73,7 +76,7 @@
 			unix.Close(listen)
 			return -1, errors.New("ledger: another process of this router keeps it; two cannot write one ledger, so end that one first")
 		}
-		n.turn.last = link
+		n.turn.last, n.turn.began = link, n.clock()
 		n.turn.heir.Wait()
 		return listen, nil
 	}
@@ -252,6 +255,7 @@
 		n.take("the process before has gone")
 	}
 	n.front.ElderGone()
+	n.trunk.Renew()
 	if !errors.Is(err, loop.ErrEOF) {
 		n.log.Warn().Str("event", "handover_broken").Msgf("the process before is not to be heard any more: %v", err)
 	}
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -120,6 +120,7 @@
 	by    time.Duration // when the message that has begun must be whole, or a dead line closed; 0: neither
 	dead  bool          // something spoilt came on it, or it went silent
 	told  time.Duration // when its server last told its state on it; 0: never
+	until time.Duration // replaced and unused, it has been told its end, for which it has so long; 0: it has not
 	mute  *line         // the line before, which has said nothing for too long
 	m     message
 }
@@ -151,6 +152,16 @@
 	return t.count
 }
 
+// Reached says whether every server that takes set-ups has told something on a connection.
+func (t *Trunk) Reached() bool {
+	for _, p := range t.peers {
+		if p.server.State == threadglade.Up && (p.line == nil || p.line.heard == p.line.since) {
+			return false
+		}
+	}
+	return true
+}
+
 // ---- the server list ----
 
 // List takes the whole list. A server that it does not name is gone.
@@ -236,14 +247,29 @@
 	lines := p.old
 	p.old = nil
 	for _, l := range lines {
-		if used[l] && l.conn.Open() || l.dead && l.by > p.t.cfg.Clock() {
+		now := p.t.cfg.Clock()
+		switch {
+		case used[l] && l.conn.Open(), l.dead && l.by > now, l.until > now:
 			p.old = append(p.old, l)
-		} else {
+		case l.until == 0 && !l.dead && l.conn.Open():
+			// The end is told first and then awaited: releases of calls that stand may be on their way.
+			l.until = now + deadFor
+			l.conn.Half()
+			p.old = append(p.old, l)
+		default:
 			l.conn.Close(loop.ErrAbandoned)
 		}
 	}
 }
 
+// Renew opens a new connection to every server: what one has had to tell a process that is gone, and was not heard, it tells on the
+// next connection that opens.
+func (t *Trunk) Renew() {
+	for _, p := range t.peers {
+		p.connect()
+	}
+}
+
 // cutAll ends those of the peer's attempts that match, as if they had been reset, and counts them. What is
 // unanswered is given up on the wire in the same moment, for the wait before the next attempt begins now.
 func (p *peer) cutAll(match func(*outLeg) bool) (count int) {
@@ -591,6 +617,7 @@
 		return at + len(sign)
 	case n > 0 && hexID(l.m.callID):
 		l.p.t.count.Salvaged++
+		l.heed(&l.m)
 		l.released(&l.m)
 	}
 	return at + n
@@ -613,6 +640,14 @@
 	return count
 }
 
+// heed says that a release was heard: where nothing can be written on its line any more, on the present one.
+func (l *line) heed(m *message) {
+	if !l.conn.Open() && l.p.line != nil {
+		l = l.p.line
+	}
+	l.write(reply(l.p.t.buf[:0], 200, m))
+}
+
 func (l *line) write(b out) {
 	l.p.t.buf = b
 	l.conn.Write(b)
@@ -628,7 +663,7 @@
 	case "NOTIFY":
 		l.state(m)
 	case "BYE":
-		l.write(reply(t.buf[:0], 200, m))
+		l.heed(m)
 		l.released(m)
 	case "OPTIONS":
 		l.write(reply(t.buf[:0], 200, m))
