--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -468,14 +468,14 @@
 				return err
 			}
 		}
-		go p.read(r, readFrame)
+		go p.read(r, p.in, readFrame)
 		return nil
 	}
 	if p.operator() {
-		go p.read(r, func(r *bufio.Reader) (any, error) { return readHTTP(r, args) })
+		go p.read(r, p.in, func(r *bufio.Reader) (any, error) { return readHTTP(r, args) })
 		return nil
 	}
-	go p.read(r, readSIP)
+	go p.read(r, p.in, readSIP)
 	return nil
 }
 
@@ -489,12 +489,11 @@
 		p.conn = conn
 		p.mu.Unlock()
 		p.w.accepted.Add(1)
-		go p.read(bufio.NewReader(conn), readSIP)
+		go p.read(bufio.NewReader(conn), p.in, readSIP)
 	}
 }
 
-func (p *peer) read(r *bufio.Reader, one func(*bufio.Reader) (any, error)) {
-	in := p.in
+func (p *peer) read(r *bufio.Reader, in chan any, one func(*bufio.Reader) (any, error)) {
 	for {
 		m, err := one(r)
 		if err != nil {
