--- a/cmd/threadglade/upgrade_test.go
+++ b/cmd/threadglade/upgrade_test.go
@@ -123,6 +123,27 @@
 	v.end(t)
 }
 
+// A drained process ends as any other, and is followed as any other; after SIGTERM its door refuses to bring it back.
+func TestDrainThenEnd(t *testing.T) {
+	t.Parallel()
+	u := newUpgrade(t)
+	old := u.start()
+	u.call()
+	u.served(50)
+	next := u.start()
+	require.Equal(t, 200, old.ask("PUT", "drain"))
+	require.Equal(t, 503, old.ask("GET", "ready"))
+	require.Equal(t, 200, next.ask("GET", "ready"))
+	old.end(t)
+	u.served(50)
+	u.settle(0, true)
+	require.Equal(t, 200, next.ask("PUT", "drain"))
+	require.NoError(t, next.cmd.Process.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return next.ask("PUT", "resume") != 200 }, time.Second, 5*time.Millisecond)
+	<-next.ended
+	require.Zero(t, next.cmd.ProcessState.ExitCode())
+}
+
 // Whichever process is killed at whichever step, the other serves.
 func TestUpgradeKilled(t *testing.T) {
 	t.Parallel()
--- a/internal/scenario/operations_test.go
+++ b/internal/scenario/operations_test.go
@@ -239,6 +239,35 @@
 s1 send BYE c5 Reason=Q.850;cause=16
 a expect BYE c5`,
 
+		"the second front takes the same classes": `
+s0 open number=0
+s1 open number=1
+start callcontrol
+w1 open id=desk1
+w1 send {"jsonrpc":"2.0","id":1,"method":"call.place","params":{"class":"once","number":"1","destination":0,"answerWithinMs":900}}
+w1 expect "code":-32602 unknown
+` + add + `
+w1 send {"jsonrpc":"2.0","id":2,"method":"call.place","params":{"class":"once","number":"1","destination":0,"answerWithinMs":900}}
+w1 expect call.placed "request":2 as c
+s0 expect INVITE #$c Call-Kind=once
+s0 send 504 INVITE #$c
+w1 expect "id":2 "code":-32002`,
+
+		"a drain goes on over other settings": served + `
+o1 ask PUT /-/drain
+o1 expect 200
+wait 500ms
+config good "\"maxAttempts\":6" "\"maxAttempts\":1"
+o1 ask GET /-/ready
+o1 expect 503 draining
+config bad "\"maxAttempts\":1" "\"maxAttempts\":0"
+o1 ask PUT /-/resume
+o1 expect 200
+a send INVITE c1
+s0 expect INVITE c1
+s0 send 504 INVITE c1
+a expect 500 INVITE c1`,
+
 		"fewer attempts hold for what comes from then on": two + `
 a send INVITE c1
 s0 expect INVITE c1
