Send releases only to connections that have called, never to silent or half-written ones

At fault: front.go's hears took a connection that had said nothing for 0.2 s for a caller's, so a release could be written to one of the crowd. A release now waits for a connection that has called; the scenario has a half-written connection beside the caller.

--- a/internal/scenario/operations_test.go
+++ b/internal/scenario/operations_test.go
@@ -126,7 +126,7 @@
 o1 ask GET /-/ready
 o1 expect 200
 c open
-wait 300ms
+c send ACK called
 s0 send BYE c1 Reason=Q.850;cause=16
 c expect BYE c1
 c expect silence
--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -170,6 +170,7 @@
 s0 expect INVITE c1
 s0 send 200 INVITE c1 Body=x
 a expect 200 INVITE c1
+b send ACK called
 a close
 wait 300ms
 s0 send BYE c1 Reason=Q.850;cause=16
@@ -188,10 +189,14 @@
 b open
 b send OPTIONS ask
 b expect 200 OPTIONS ask
+m open
+m raw "INVITE sip"
+wait 1s
 a open
-wait 300ms
+a send ACK called
 a expect BYE c1 Reason=cause=41
-b expect silence`,
+b expect silence
+m none`,
 
 	// Whoever only asks whether the router is there, on one new connection after the other, does not pass releases on: a drained router lost
 	// those of calls that ended while no caller was connected.
@@ -212,7 +217,8 @@
 
 	// After a restart a case server tells of calls that this process never knew: the release is passed on, once.
 	"release of an earlier life": open + `
-wait 300ms
+a send ACK called
+a expect silence
 s0 send BYE old Reason=Q.850;cause=16
 s0 send BYE old Reason=Q.850;cause=16
 a expect BYE old Reason=cause=16
--- a/internal/sip/across.go
+++ b/internal/sip/across.go
@@ -196,7 +196,7 @@
 		return k
 	})
 	for k := range f.conns { // a release that found no connection
-		if len(f.owed) > 0 && k.hears(now) {
+		if len(f.owed) > 0 && k.hears() {
 			k.pay()
 		}
 	}
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -38,9 +38,6 @@
 	// whole router carries on its busiest day. More is a flood, which must not crowd out the other connections.
 	ratePerConn  = 400
 	burstPerConn = 64
-	// callerAfter is how long a connection has to show by its first message whether a caller or somebody who only asks whether the
-	// router is there has come; one that says nothing for so long is taken for a caller's.
-	callerAfter = 200 * time.Millisecond
 	// descriptionMost bytes may describe a call: the message that passes it on has room for no more.
 	descriptionMost = messageMost - 512
 	// unsentMost bytes may wait for a caller that does not read.
@@ -202,7 +199,7 @@
 		} else if !k.over && f.life.Letting(now, k.state()) {
 			f.count.Let++
 			k.finish()
-		} else if len(f.owed) > 0 && k.hears(now) {
+		} else if len(f.owed) > 0 && k.hears() {
 			k.pay()
 		}
 	}
@@ -232,7 +229,7 @@
 // release sends a release on the connection that the call came by, else on another one from there, else on any,
 // else by the process that has taken the callers over, else on the next that opens: no connection owns a call.
 func (f *Front) release(on *caller, id string, how threadglade.Outcome) {
-	if on != nil && on.hears(f.clock()) {
+	if on != nil && on.hears() {
 		f.count.Releases++
 		f.buf = bye(f.buf[:0], id, 1, how)
 		on.conn.Write(f.buf)
@@ -250,7 +247,7 @@
 	now := f.clock()
 	var on *caller
 	for k := range f.conns {
-		if k.hears(now) && (on == nil || k.conn.Remote().Addr() == from) {
+		if k.hears() && (on == nil || k.conn.Remote().Addr() == from) {
 			on = k
 		}
 	}
@@ -313,7 +310,7 @@
 		if !last {
 			break
 		}
-		last = other == k || !other.hears(k.f.clock())
+		last = other == k || !other.hears()
 	}
 	return lifecycle.Conn{Open: len(k.open) + len(k.there), Since: k.since, Heard: k.heard, Share: k.share, Last: last}
 }
@@ -339,11 +336,9 @@
 
 func (k *caller) Opened(*loop.Conn) {}
 
-// hears says whether releases may go by the connection: to a caller. Whoever only asks whether the router is there, ten times a second on
-// new connections, does not pass them on.
-func (k *caller) hears(now time.Duration) bool {
-	return k.conn.Open() && (k.calls || !k.spoke && now-k.since >= callerAfter)
-}
+// hears says whether releases may go by the connection: to somebody who has called by it. Whoever only asks whether the router is there, or has
+// said nothing yet, may never read them.
+func (k *caller) hears() bool { return k.conn.Open() && k.calls }
 
 // pay sends by the connection the releases that found none.
 func (k *caller) pay() {
