Take the whole queue of a listener before its close, and test what is urgent

Cause, found in reading: a process that ends without a successor emptied one batch (128) of up to 1,024 accepted connections; the rest would have been reset. Listener.Empty now takes all.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -19,6 +19,7 @@
 	readStep  = 16 << 10  // bytes read from one connection a turn
 	turnMost  = 16        // messages taken from one connection a turn
 	writeMost = 256 << 10 // bytes that may wait to be written on one connection
+	queueMost = 1024      // connections that wait to be accepted
 	batch     = 128       // events taken from epoll, and connections accepted, at a time
 	idleMost  = time.Hour // longest wait with nothing due
 )
@@ -347,7 +348,7 @@
 		unix.Close(fd)
 		return nil, fmt.Errorf("bind %s: %w", addr, err)
 	}
-	if err := unix.Listen(fd, 1024); err != nil {
+	if err := unix.Listen(fd, queueMost); err != nil {
 		unix.Close(fd)
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
@@ -378,8 +379,12 @@
 // Descriptor is the listening socket, to be passed on while the Listener is open.
 func (ln *Listener) Descriptor() int { return ln.fd }
 
-// Empty takes what waits in the queue.
-func (ln *Listener) Empty() { ln.ready(0) }
+// Empty takes all that waits in the queue, which holds no more than so many batches.
+func (ln *Listener) Empty() {
+	for range queueMost/batch + 1 {
+		ln.ready(0)
+	}
+}
 
 // Addr is where the listener listens.
 func (ln *Listener) Addr() netip.AddrPort { return local(ln.fd) }
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -210,3 +210,70 @@
 	require.True(t, b.Take(now+100*time.Millisecond))
 	require.False(t, b.Take(now+100*time.Millisecond))
 }
+
+// What was accepted for a listener before its close is taken, more than one batch of it.
+func TestEmpty(t *testing.T) {
+	l, err := New()
+	require.NoError(t, err)
+	defer l.Close()
+	accepted := 0
+	ln, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(*Conn) Handler { accepted++; return nil })
+	require.NoError(t, err)
+	for range 2*batch + 5 {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		defer conn.Close()
+	}
+	ln.Empty()
+	require.Equal(t, 2*batch+5, accepted)
+}
+
+// An urgent connection is served in the middle of a turn that is busy with others, which came first.
+func TestUrgent(t *testing.T) {
+	l, err := New()
+	require.NoError(t, err)
+	defer l.Close()
+	const others = 40
+	served, accepted, before := 0, 0, -1
+	closed := make(chan error, others+1)
+	count := func(*Conn) Handler {
+		accepted++
+		return talker{func(_ *Conn, b []byte) int { served++; return len(b) }, closed}
+	}
+	plain, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), count)
+	require.NoError(t, err)
+	urgent, err := l.ListenUrgent(netip.MustParseAddrPort("127.0.0.1:0"), func(*Conn) Handler {
+		accepted++
+		return talker{func(_ *Conn, b []byte) int { before = served; return len(b) }, closed}
+	})
+	require.NoError(t, err)
+	var conns []net.Conn
+	for i := range others + 1 {
+		to := plain.Addr()
+		if i == others {
+			to = urgent.Addr()
+		}
+		conn, err := net.Dial("tcp", to.String())
+		require.NoError(t, err)
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	turns := 0
+	stop := time.Now().Add(5 * time.Second)
+	require.NoError(t, l.Run(func() time.Duration {
+		if accepted == others+1 {
+			turns++
+		}
+		if turns == 5 { // nothing of the accepting is left to look at; all of them at once, the urgent one last
+			for _, conn := range conns {
+				conn.Write([]byte("x"))
+			}
+		}
+		if before >= 0 && served == others || time.Now().After(stop) {
+			l.Stop()
+		}
+		return time.Millisecond
+	}))
+	require.GreaterOrEqual(t, before, 0)
+	require.Less(t, before, 2*urgentEvery)
+}
