Decide in a pure package when a connection to a case server has gone silent

Cause, found in reading: the trunk, an edge, decided by itself from reports, waiting set-ups and what came, with nothing but socket scenarios to test it. Change: package silence has the state and the decision; the trunk feeds it. No rule was changed.

--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,20 +12,12 @@
 	"threadglade.example/threadglade"
 	"threadglade.example/threadglade/internal/loop"
 	"threadglade.example/threadglade/router"
+	"threadglade.example/threadglade/silence"
 )
 
 const (
 	// redialAfter is the pause between two tries to connect to a listed server.
 	redialAfter = 250 * time.Millisecond
-	// silentAfter is how long a server with calls may say nothing before a new connection has to show that it
-	// is there: its state comes about every second, and a vanished machine leaves its connections open.
-	silentAfter = 1500 * time.Millisecond
-	// muteLeast and muteMargin say when a line has missed a report: a server tells its state on every open connection at its own intervals, and one
-	// that is past the longest of the latest statesKept of them by the margin says nothing any more, whatever else is slow. Until so many are
-	// known, or on a line that has said nothing yet, silentAfter holds.
-	muteLeast  = 300 * time.Millisecond
-	muteMargin = 1.3
-	statesKept = 8
 	// deadAfter is how long a server must have been out of reach before its calls count as cut.
 	deadAfter = 2 * time.Second
 	// watchEvery is how often servers are looked at.
@@ -101,13 +92,12 @@
 	dial      *line   // connecting
 	old       []*line // replaced, but with attempts on them
 	lastDial  time.Duration
-	lostSince time.Duration             // out of reach since then; 0: in reach
-	pending   []*outLeg                 // wait for a connection
-	owed      []string                  // calls to be released that found no connection
-	legs      int                       // attempts of it in Trunk.legs
-	complains time.Duration             // when it was last named in the log for what it sent
-	apart     [statesKept]time.Duration // latest times between two reports on one line
-	reports   int                       // such times there have been
+	lostSince time.Duration // out of reach since then; 0: in reach
+	pending   []*outLeg     // wait for a connection
+	owed      []string      // calls to be released that found no connection
+	legs      int           // attempts of it in Trunk.legs
+	complains time.Duration // when it was last named in the log for what it sent
+	reports   silence.Reports
 }
 
 // line is one connection to a peer.
@@ -115,11 +105,9 @@
 	p     *peer
 	conn  *loop.Conn
 	since time.Duration // when it was opened
-	heard time.Duration
-	asked time.Duration // when the first set-up was sent on it since
+	sound silence.Line
 	by    time.Duration // when the message that has begun must be whole, or a dead line closed; 0: neither
 	dead  bool          // something spoilt came on it, or it went silent
-	told  time.Duration // when its server last told its state on it; 0: never
 	until time.Duration // replaced and unused, it has been told its end, for which it has so long; 0: it has not
 	mute  *line         // the line before, which has said nothing for too long
 	m     message
@@ -155,7 +143,7 @@
 // Reached says whether every server that takes set-ups has told something on a connection.
 func (t *Trunk) Reached() bool {
 	for _, p := range t.peers {
-		if p.server.State == threadglade.Up && (p.line == nil || p.line.heard == p.line.since) {
+		if p.server.State == threadglade.Up && (p.line == nil || !p.line.sound.Spoke()) {
 			return false
 		}
 	}
@@ -317,7 +305,7 @@
 		switch {
 		case p.line == nil:
 			p.connect()
-		case p.legs > 0 && now-p.line.heard > silentAfter || p.line.silent(now):
+		case p.legs > 0 && p.line.sound.Quiet(now) || p.line.sound.Silent(now, &p.reports):
 			p.t.count.Silent++
 			p.connect()
 		}
@@ -331,14 +319,6 @@
 	}
 }
 
-// silent says whether the line, on which its server used to tell its state, has missed a report while a set-up waits on it.
-func (l *line) silent(now time.Duration) bool {
-	if l.p.reports < statesKept || l.told == 0 || l.asked <= l.heard {
-		return false
-	}
-	return now-l.asked > min(silentAfter, max(muteLeast, time.Duration(muteMargin*float64(slices.Max(l.p.apart[:])))))
-}
-
 // connect opens a connection that takes the place of the present one once it is up.
 func (p *peer) connect() {
 	if p.dial != nil || p.gone {
@@ -353,7 +333,8 @@
 func (l *line) Opened(*loop.Conn) {
 	p := l.p
 	now := p.t.cfg.Clock()
-	l.since, l.heard = now, now
+	l.since = now
+	l.sound.Opened(now)
 	p.t.count.Opened++
 	if p.dial != l {
 		l.conn.Close(loop.ErrAbandoned)
@@ -362,7 +343,7 @@
 	if p.lostSince > 0 {
 		p.t.cfg.Log.Info().Str("event", "server_reached").Str("server", p.server.ID).Msgf("server %s is in reach again", p.server.ID)
 	}
-	if p.line != nil && p.line.silent(now) {
+	if p.line != nil && p.line.sound.Silent(now, &p.reports) {
 		l.mute = p.line
 	}
 	p.retire()
@@ -395,7 +376,7 @@
 			p.failPending()
 		}
 		// Late: a line that is still open is one to a machine that says nothing any more.
-		if p.line != nil && now-p.line.heard > silentAfter {
+		if p.line != nil && p.line.sound.Quiet(now) {
 			p.t.cfg.Log.Warn().Str("event", "server_silent").Str("server", p.server.ID).Msgf("server %s is silent", p.server.ID)
 			p.retire()
 		}
@@ -459,9 +440,7 @@
 	t := p.t
 	now := t.cfg.Clock()
 	l.on, l.sent = p.line, now
-	if l.on.asked <= l.on.heard {
-		l.on.asked = max(now, l.on.heard+1)
-	}
+	l.on.sound.Asked(now)
 	t.count.Invites++
 	b := request(t.buf[:0], "INVITE", l.Number, l.ID, 1, "INVITE").head("Call-Kind", l.Class)
 	b = b.headInt("Answer-Within", max(1, int64((l.Deadline-now)/time.Millisecond))).body(l.Description)
@@ -546,12 +525,13 @@
 
 func (l *line) Data(c *loop.Conn, b []byte) int {
 	t := l.p.t
-	l.heard = t.cfg.Clock()
+	now := t.cfg.Clock()
+	l.sound.Heard(now)
 	if l.dead {
 		return l.salvage(b)
 	}
 	if old := l.mute; old != nil { // the server speaks, and here
-		if l.mute = nil; old.heard <= l.since && old.conn.Open() && !old.dead {
+		if l.mute = nil; old.sound.Mute(&l.sound) && old.conn.Open() && !old.dead {
 			t.count.Mute++
 			old.end(errMute)
 		}
@@ -561,7 +541,7 @@
 	case err != nil:
 	case n == 0:
 		if l.by == 0 {
-			l.by = l.heard + answerWithin
+			l.by = now + answerWithin
 		}
 		return 0
 	case !begins(b[n:]):
@@ -783,12 +763,8 @@
 		free, told = field(report, "x0")
 		total, sized = field(report, "x1")
 	}
-	if now := t.cfg.Clock(); told && sized {
-		if l.told > 0 {
-			l.p.apart[l.p.reports%statesKept] = now - l.told
-			l.p.reports++
-		}
-		l.told = now
+	if told && sized {
+		l.sound.Told(t.cfg.Clock(), &l.p.reports)
 	}
 	if told && sized && free >= 0 && total >= free && total <= agentsMost { // also no NaN
 		t.count.States++
