Decide in lifecycle how long a caller's connection may stay and who goes first

Cause, found in reading: the SIP front, an edge, kept deadlines, slow messages and the order of eviction itself, tried through sockets alone. Change: lifecycle.Caller has state and decision, the front feeds it. No rule was changed.

--- a/internal/sip/across.go
+++ b/internal/sip/across.go
@@ -60,7 +60,7 @@
 }
 
 func (f *Front) pass(k *caller) {
-	if k.over || len(k.there) > 0 { // it ends by itself; or set-ups on it are those of a process before this one
+	if k.stay.Ended() || len(k.there) > 0 { // it ends by itself; or set-ups on it are those of a process before this one
 		return
 	}
 	fd, in, ok := k.conn.Detach()
@@ -72,7 +72,7 @@
 	f.passed++
 	b := binary.BigEndian.AppendUint32(nil, f.passed)
 	flags := byte(0)
-	if k.spoke {
+	if k.stay.Spoken() {
 		flags |= 1
 	}
 	if k.calls {
@@ -182,9 +182,8 @@
 	f.count.Adopted++
 	l.Adopt(fd, append([]byte(nil), rest[n*idSize:]...), func(c *loop.Conn) loop.Handler {
 		k := f.caller(c, now)
-		k.spoke, k.calls, k.strikes = flags&1 != 0, flags&2 != 0, int(strikes)
-		if k.spoke && len(rest) == n*idSize {
-			k.by = 0
+		if k.calls, k.strikes = flags&2 != 0, int(strikes); flags&1 != 0 {
+			k.stay.Known(len(rest) > n*idSize)
 		}
 		if n > 0 {
 			k.elder, k.away, k.there = elder, id, make(map[string]bool, n)
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -20,16 +20,6 @@
 	answerEarly = 30 * time.Millisecond
 	// owedFor is how long a release that found no connection waits for the next one.
 	owedFor = 30 * time.Second
-	// wholeWithin is how long a caller has from connecting for its first message, and for each later one from its
-	// first byte until it is whole: far longer than any message takes, short enough that those who say nothing, or
-	// one byte now and then, hold a descriptor no longer. An idle connection that has spoken stays.
-	wholeWithin = 2 * time.Second
-	// slowMore is how much longer a message may take whose bytes keep coming, at least every slowPause: a caller on a slow path. Whoever
-	// says nothing, or stops in the middle, has wholeWithin; all of them hear their end within 3 s of connecting.
-	slowMore  = 750 * time.Millisecond
-	slowPause = 700 * time.Millisecond
-	// lingerFor is how long a connection that was told its end may go on sending.
-	lingerFor = 2500 * time.Millisecond
 	// sweepEvery is how often connections are looked at.
 	sweepEvery = 100 * time.Millisecond
 	// strikesMost messages of one connection may be unusable before it is closed.
@@ -158,8 +148,7 @@
 	if len(f.conns) >= f.most() {
 		var idle *caller
 		for k := range f.conns {
-			if len(k.open)+len(k.there) == 0 && (idle == nil || k.standing() < idle.standing() ||
-				k.standing() == idle.standing() && k.heard < idle.heard) {
+			if len(k.open)+len(k.there) == 0 && (idle == nil || k.stay.Before(&idle.stay)) {
 				idle = k
 			}
 		}
@@ -177,8 +166,8 @@
 func (f *Front) caller(c *loop.Conn, now time.Duration) *caller {
 	f.count.Accepted++
 	_, share := math.Modf(float64(f.count.Accepted) * math.Phi) // evenly spread, however many there are
-	k := &caller{f: f, conn: c, since: now, heard: now, by: now + wholeWithin, share: share,
-		rate: loop.Bucket{Rate: ratePerConn, Burst: burstPerConn}}
+	k := &caller{f: f, conn: c, share: share, rate: loop.Bucket{Rate: ratePerConn, Burst: burstPerConn}}
+	k.stay.Came(now)
 	f.conns[k] = true
 	return k
 }
@@ -193,10 +182,10 @@
 				f.router.Abandon(l, id)
 			}
 		}
-		if k.by > 0 && now >= k.by && !k.slow(now) || k.conn.Unsent() > unsentMost {
+		if k.stay.Late(now) || k.conn.Unsent() > unsentMost {
 			f.count.Late++
 			k.conn.Close(loop.ErrSlow)
-		} else if !k.over && f.life.Letting(now, k.state()) {
+		} else if !k.stay.Ended() && f.life.Letting(now, k.state()) {
 			f.count.Let++
 			k.finish()
 		} else if len(f.owed) > 0 && k.hears() {
@@ -216,7 +205,7 @@
 func (f *Front) LetGo() {
 	now := f.clock()
 	for k := range f.conns {
-		if !k.over && f.life.Letting(now, k.state()) {
+		if !k.stay.Ended() && f.life.Letting(now, k.state()) {
 			f.count.Let++
 			k.finish()
 		}
@@ -281,14 +270,12 @@
 type caller struct {
 	f       *Front
 	conn    *loop.Conn
-	open    map[string]*leg // set-ups that came by it and are owed an answer; nil while there is none
-	since   time.Duration   // when it was accepted
+	open    map[string]*leg  // set-ups that came by it and are owed an answer; nil while there is none
+	stay    lifecycle.Caller // how long it may
 	heard   time.Duration
-	share   float64       // its place where connections are closed one after the other
-	by      time.Duration // when it is closed unless a message is whole by then; 0: none has begun
-	spoke   bool          // it has sent a usable message
-	calls   bool          // one that only a caller sends, not just a question whether the router is there
-	over    bool          // it was told its end
+	share   float64 // its place where connections are closed one after the other
+	calls   bool    // something has come that only a caller sends, not just a question whether the router is there
+	over    bool    // it was told its end
 	strikes int
 	rate    loop.Bucket     // of set-ups
 	passed  uint32          // its number with the other process, once it was passed on; 0: it was not
@@ -298,11 +285,6 @@
 	m       message
 }
 
-// slow says whether a message that is past its time may still become whole.
-func (k *caller) slow(now time.Duration) bool {
-	return !k.over && now < k.by+slowMore && now-k.heard < slowPause
-}
-
 // state is what decides whether the connection is let go.
 func (k *caller) state() lifecycle.Conn {
 	last := k.f.life.Leaving()
@@ -312,18 +294,7 @@
 		}
 		last = other == k || !other.hears()
 	}
-	return lifecycle.Conn{Open: len(k.open) + len(k.there), Since: k.since, Heard: k.heard, Share: k.share, Last: last}
-}
-
-// standing orders connections by who goes first.
-func (k *caller) standing() int {
-	switch {
-	case k.over:
-		return 0
-	case !k.spoke:
-		return 1
-	}
-	return 2
+	return lifecycle.Conn{Open: len(k.open) + len(k.there), Since: k.stay.Since(), Heard: k.stay.Last(), Share: k.share, Last: last}
 }
 
 // leg is one set-up as its caller sees it; it is the request's front.
@@ -359,6 +330,7 @@
 
 func (k *caller) Data(_ *loop.Conn, b []byte) int {
 	k.heard = k.f.clock()
+	k.stay.Heard(k.heard)
 	n, err := parse(b, &k.m)
 	if err == nil && n > 0 && !begins(b[n:]) { // its length was wrong: what follows is no message
 		n, err = 0, errFrame
@@ -372,9 +344,7 @@
 		k.refuse(400)
 		return n
 	case n == 0:
-		if k.by == 0 {
-			k.by = k.heard + wholeWithin
-		}
+		k.stay.Begun(k.heard)
 		return 0
 	}
 	if len(k.m.headers) > 0 { // else it was white space between messages
@@ -382,9 +352,7 @@
 		if len(k.there) == 0 || !k.elders(&k.m, b[:n]) {
 			k.take(&k.m)
 		}
-		if k.spoke && !k.over {
-			k.by = 0
-		}
+		k.stay.Whole()
 	}
 	return n
 }
@@ -402,8 +370,7 @@
 
 // finish ends the connection so that its last answer can be read.
 func (k *caller) finish() {
-	if !k.over {
-		k.over, k.by = true, k.f.clock()+lingerFor
+	if k.stay.Over(k.f.clock()) {
 		k.conn.Finish()
 		k.gone()
 		k.leave()
@@ -431,7 +398,7 @@
 }
 
 func (k *caller) take(m *message) {
-	k.spoke = true
+	k.stay.Spoke()
 	if !k.calls && string(m.method) != "OPTIONS" {
 		if k.calls = true; len(k.f.owed) > 0 {
 			k.pay()
@@ -556,7 +523,7 @@
 	}
 	l.on.f.count.Answers++
 	l.on.final(id, b)
-	if l.on.f.life.LettingAnswered(l.on.f.clock(), l.on.state()) && !l.on.over {
+	if l.on.f.life.LettingAnswered(l.on.f.clock(), l.on.state()) && !l.on.stay.Ended() {
 		l.on.f.count.Let++
 		l.on.finish()
 	}
--- /dev/null
+++ b/lifecycle/caller_test.go
@@ -0,0 +1,80 @@
+package lifecycle
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// However a caller's bytes come, one without a whole first message is out of time within 2.75 s, one that stops no later than 0.7 s
+// after that or at 2 s, and one whose message is whole in time stays for good.
+func TestPatience(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c Caller
+		now := time.Hour
+		c.Came(now)
+		last, whole := now, now+time.Duration(rapid.IntRange(0, 5000).Draw(t, "whole after"))*ms
+		for now < time.Hour+6*time.Second {
+			now += time.Duration(rapid.IntRange(20, 900).Draw(t, "pause")) * ms
+			late := c.Late(now)
+			age, pause := now-time.Hour, now-last
+			require.Equal(t, age >= 2*time.Second && (pause >= 700*ms || age >= 2750*ms), late)
+			if late {
+				return
+			}
+			last = now
+			c.Heard(now)
+			if now >= whole {
+				c.Spoke()
+				c.Whole()
+				require.False(t, c.Late(now+time.Hour), "an idle connection that has spoken was ended")
+				c.Begun(now)
+				require.True(t, c.Late(now+2*time.Second))
+				require.True(t, c.Over(now) && !c.Over(now))
+				c.Whole()
+				require.True(t, c.Late(now+lingerFor))
+				return
+			}
+			c.Begun(now)
+		}
+		require.Fail(t, "never late")
+	})
+}
+
+// Who goes first is one order: told its end, not spoken, spoken; and the one silent longest among equals.
+func TestWhoGoesFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []*Caller
+		for range rapid.IntRange(2, 20).Draw(t, "connections") {
+			c := &Caller{}
+			c.Came(time.Hour)
+			c.Heard(time.Hour + time.Duration(rapid.IntRange(0, 50).Draw(t, "heard"))*ms)
+			if rapid.Bool().Draw(t, "spoke") {
+				c.Spoke()
+			}
+			if rapid.Bool().Draw(t, "over") {
+				c.Over(time.Hour)
+			}
+			all = append(all, c)
+		}
+		first := slices.MinFunc(all, func(a, b *Caller) int {
+			switch {
+			case a.Before(b):
+				return -1
+			case b.Before(a):
+				return 1
+			}
+			return 0
+		})
+		for _, c := range all {
+			require.False(t, c.Ended() && !first.Ended())
+			require.False(t, !c.Ended() && !c.Spoken() && !first.Ended() && first.Spoken())
+			if c.Ended() == first.Ended() && (c.Ended() || c.Spoken() == first.Spoken()) {
+				require.LessOrEqual(t, first.Last(), c.Last())
+			}
+		}
+	})
+}
