--- a/api.go
+++ b/api.go
@@ -178,7 +178,33 @@
 	Until   time.Duration // clock time from which it has none
 }
 
+// Further tells how many further attempts, of all calls together, this proxy may make until it is told anew. None is told: only the calls' own
+// limits count.
+type Further struct {
+	Limited bool
+	Left    int
+}
+
+// spend takes one, and says whether there was one.
+func (f *Further) spend() bool {
+	if !f.Limited {
+		return true
+	}
+	f.Left = max(f.Left-1, -1)
+	return f.Left >= 0
+}
+
+// Care has a server left alone until then, for what all proxies know of it together. It makes this one more careful, never bolder: what it
+// has found out by itself holds, too.
+type Care struct {
+	Server  string
+	Started time.Duration // of the server
+	Until   time.Duration // clock time
+}
+
 func (ColdPart) event()   {}
+func (Further) event()    {}
+func (Care) event()       {}
 func (ServerList) event() {}
 func (Arrival) event()    {}
 func (Stood) event()      {}
@@ -239,26 +265,27 @@
 
 // Reasons. Those from Gapped to NoServer tell what kept the call's first choice from taking it.
 const (
-	NoReason     Reason = iota
-	FirstChoice         // sent to the server that the call names
-	Remembered          // sent to the server that took such calls before
-	Drawn               // sent to one drawn at random
-	Gapped              // the server's admission rate was used up
-	Resting             // the server failed a moment ago
-	OnTrial             // set-ups there were unanswered for too long
-	Hopeless            // its answers came too late for this call's aim
-	BudgetSpent         // this proxy's share of what it can take was used up, as of a cold server's
-	NotUp               // it drains or is gone
-	NotSkilled          // it may not take the class
-	NoServer            // the call names none that is known
-	UnknownClass        // the call's class does not exist
-	OutOfTime           // the caller's time was up
-	NumberBusy          // all lines of the number were busy
-	CrowdedOut          // too many calls waited that are worth more
-	Returned            // a server turned it away
-	OwnFault            // servers found fault with it
-	NoFurther           // no further attempt is allowed, or would come in time
-	Overtaken           // a later set-up was answered first: this one was lost
-	Unbillable          // refused before any decision
-	OverLimit           // the same, for a limit of the whole fleet
+	NoReason      Reason = iota
+	FirstChoice          // sent to the server that the call names
+	Remembered           // sent to the server that took such calls before
+	Drawn                // sent to one drawn at random
+	Gapped               // the server's admission rate was used up
+	Resting              // the server failed a moment ago
+	OnTrial              // set-ups there were unanswered for too long
+	Hopeless             // its answers came too late for this call's aim
+	BudgetSpent          // this proxy's share of what it can take was used up, as of a cold server's
+	NotUp                // it drains or is gone
+	NotSkilled           // it may not take the class
+	NoServer             // the call names none that is known
+	UnknownClass         // the call's class does not exist
+	OutOfTime            // the caller's time was up
+	NumberBusy           // all lines of the number were busy
+	CrowdedOut           // too many calls waited that are worth more
+	Returned             // a server turned it away
+	OwnFault             // servers found fault with it
+	NoFurther            // no further attempt is allowed, or would come in time
+	Overtaken            // a later set-up was answered first: this one was lost
+	Unbillable           // refused before any decision
+	OverLimit            // the same, for a limit of the whole fleet
+	SharedVerdict        // the proxies together have found it unfit
 )
--- a/cmd/threadglade/upgrade_test.go
+++ b/cmd/threadglade/upgrade_test.go
@@ -32,6 +32,7 @@
 	listen string
 	env    []string
 	tmp    string
+	more   []string // of the command
 	load   *standin.Load
 	stop   func()
 }
@@ -52,7 +53,7 @@
 
 func (u *upgrade) launch() *process {
 	door := port(u.t)
-	return &process{start(u.t, append(u.env, "NODE_MGMT="+door, "TMPDIR="+u.tmp), "serve"), door}
+	return &process{start(u.t, append(u.env, "NODE_MGMT="+door, "TMPDIR="+u.tmp), append([]string{"serve"}, u.more...)...), door}
 }
 
 // ask calls the operators' door; 0: nobody answers.
@@ -305,3 +306,33 @@
 	require.Contains(t, next.log(), "event=taken_over", fmt.Sprint(v.log()))
 	next.end(t)
 }
+
+// A router of a fleet passes its name on with its callers: the new process has its share of a closed limit long before the old one, where calls still stand, has left.
+func TestUpgradeFleet(t *testing.T) {
+	t.Parallel()
+	u := newUpgrade(t)
+	dir := filepath.Join(u.tmp, "keepers")
+	path := u.s.file("fleet.edn", fmt.Sprintf(`(threadglade (fleet (name "f") (directory %q) (keeper "k" (address %q)) (members "n*"))
+  (limits (limit "all" (rate 2000))))`, filepath.Join(dir, "k"), port(t)))
+	out, code := tool(t, "fleet", "found", "--settings", path, "-o", dir)
+	require.Zero(t, code, out)
+	start(t, nil, "fleet", "keeper", "--settings", path, "--name", "k")
+	u.more = []string{"--settings", path}
+	v := u.start()
+	require.Eventually(t, func() bool { return strings.Contains(v.log(), "fleet_granted") }, 10*time.Second, 10*time.Millisecond, v.log())
+	u.call()
+	u.served(300)
+	before := u.load.Counts()
+	next := u.start()
+	v.cmd.Process.Signal(syscall.SIGTERM)
+	require.Eventually(t, func() bool { return strings.Contains(next.log(), "fleet_granted") }, 10*time.Second, 5*time.Millisecond, next.log())
+	u.served(600)
+	<-v.ended
+	u.stop()
+	n := u.load.Wait()
+	require.Zero(t, n.Lost, "%+v", n)
+	require.Zero(t, n.Odd, "%+v", n)
+	refused := n.Refused - before.Refused
+	t.Logf("%d of 300 a second refused while the name changed hands", refused)
+	require.Less(t, refused, 300, "a second without a share")
+}
--- a/controller.go
+++ b/controller.go
@@ -89,35 +89,35 @@
 // Controller decides for one proxy. It is a pure state machine: not safe for use by several goroutines at
 // once.
 type Controller struct {
-	set        *Settings // in force; calls hold the one that they came under
-	classes    map[string]*Class
-	tenants    map[string]*tenant
-	topWorth   float64
-	random     draws
-	now        time.Duration
-	nextTick   time.Duration
-	servers    []*server // in the order in which they were first listed
-	byID       map[string]*server
-	remembered *server
-	drawn      bool // anew since it was last sent a call
-	calls      map[string]*call
-	timers     map[int64]*call
-	lastToken  int64
-	waiting    []*call                  // the most valuable first
-	tried      map[string]time.Duration // numbers called that have not stood: when first
-	tries      []try                    // the same in the order of time
-	busy       map[string]rest          // numbers with all lines busy
-	longest    time.Duration            // of the classes' deadlines
-	holding    time.Duration            // mean over the classes
-	lastLate   time.Duration            // when the last late call came
-	loss       float64                  // smoothed part of the set-ups that a later one overtook
-	own        meter                    // first tries at this proxy
-	all        int                      // calls of all proxies that hold, as told
-	allAgents  int                      // agents of all servers, as told
-	divided    bool                     // what cold servers may be sent is divided among the proxies,
-	alone      float64                  // and without a part this one has so much
-	wake       time.Duration            // when waiting calls are looked at again
-	actions    []Action
+	set            *Settings // in force; calls hold the one that they came under
+	classes        map[string]*Class
+	tenants        map[string]*tenant
+	topWorth       float64
+	random         draws
+	now            time.Duration
+	nextTick       time.Duration
+	servers        []*server // in the order in which they were first listed
+	byID           map[string]*server
+	remembered     *server
+	drawn          bool // anew since it was last sent a call
+	calls          map[string]*call
+	timers         map[int64]*call
+	lastToken      int64
+	waiting        []*call                  // the most valuable first
+	tried          map[string]time.Duration // numbers called that have not stood: when first
+	tries          []try                    // the same in the order of time
+	busy           map[string]rest          // numbers with all lines busy
+	longest        time.Duration            // of the classes' deadlines
+	holding        time.Duration            // mean over the classes
+	lastLate       time.Duration            // when the last late call came
+	loss           float64                  // smoothed part of the set-ups that a later one overtook
+	own            meter                    // first tries at this proxy
+	all, allAgents int                      // as told: calls of all proxies that hold, and agents
+	divided        bool                     // what cold servers may be sent is divided among the proxies,
+	alone          float64                  // and without a part this one has so much
+	further        Further                  // attempts that the proxies have agreed on
+	wake           time.Duration            // when waiting calls are looked at again
+	actions        []Action
 }
 
 // call is one call from its arrival until its answer and the end of its last attempt.
@@ -163,23 +163,23 @@
 // server is what this proxy knows of one central server.
 type server struct {
 	Server
-	barred      time.Duration // no calls before then
-	out         int           // own set-ups unanswered
-	overdue     []*call       // of them, those past their stop age
-	passed      time.Duration // when the latest set-up that it answered was sent
-	base        time.Duration // age of its quickest answers
-	probe       time.Duration // no set-up before then while some are overdue
-	failures    int           // set-ups in a row that it failed
-	faults      int           // set-ups that it found fault with since its last answer
-	goneAt      time.Duration // when the list last named it as gone
-	latest      time.Duration // age of the latest set-up that it answered
-	answered    time.Duration // when it did
-	trial       int           // own set-ups that may be out while on trial after an overdue one; 0: no trial
-	free, total int           // agents, as last told
-	credit      float64       // calls that it may be sent of this proxy's share
-	credited    time.Duration // when the credit last grew
-	part        float64       // of what all proxies may send it while it is cold, until parted
-	parted      time.Duration
+	barred        time.Duration // no calls before then
+	out           int           // own set-ups unanswered
+	overdue       []*call       // of them, those past their stop age
+	passed        time.Duration // when the latest set-up that it answered was sent
+	base          time.Duration // age of its quickest answers
+	probe         time.Duration // no set-up before then while some are overdue
+	failures      int           // set-ups in a row that it failed
+	faults        int           // set-ups that it found fault with since its last answer
+	goneAt        time.Duration // when the list last named it as gone
+	latest        time.Duration // age of the latest set-up that it answered
+	answered      time.Duration // when it did
+	trial         int           // own set-ups that may be out on trial after an overdue one; 0: no trial
+	free, total   int           // agents, as last told
+	credit        float64       // calls that it may be sent of this proxy's share
+	credited      time.Duration // when the credit last grew
+	part          float64       // of what all proxies may send it while it is cold, until parted
+	parted, cared time.Duration // cared: left alone until then, for what all know
 	control
 }
 
@@ -243,6 +243,12 @@
 		c.due(e)
 	case ColdPart:
 		c.take(e)
+	case Further:
+		c.further = e
+	case Care:
+		if s := c.byID[e.Server]; s != nil && s.Started == e.Started {
+			s.cared = e.Until
+		}
 	}
 	if len(c.waiting) > 0 {
 		c.pump()
@@ -275,7 +281,7 @@
 			c.servers = append(c.servers, s)
 		}
 		if s.ID == "" || s.Started != entry.Started {
-			s.credit, s.credited, s.parted = 1, c.now, 0
+			s.credit, s.credited, s.parted, s.cared = 1, c.now, 0, 0
 			if c.divided && entry.Started > 0 { // parts of one call each would come to many
 				s.credit = 0
 			} else if entry.Started > 0 {
@@ -675,7 +681,7 @@
 func (c *Controller) again(k *call, wait time.Duration) {
 	switch {
 	case k.attempts >= k.set.Limits.MaxAttempts, k.mayHold && k.class.Repeat != RepeatFree,
-		c.now+wait >= k.deadline:
+		c.now+wait >= k.deadline, !c.further.spend():
 		c.refuse(k, NoFurther)
 	case wait > 0:
 		k.resume = c.now + wait
@@ -829,8 +835,8 @@
 // takes says whether the server may be sent the call at all.
 func (c *Controller) takes(s *server, k *call) bool {
 	tried := len(s.overdue) > 0 && c.now < s.probe || s.trial > 0 && s.out-len(s.overdue) >= s.trial
-	return s.State == Up && c.now >= s.barred && !tried && c.skilled(s, k.class) && !c.hopeless(s, k) &&
-		!c.spent(s)
+	return s.State == Up && c.now >= max(s.barred, s.cared) && !tried && c.skilled(s, k.class) &&
+		!c.hopeless(s, k) && !c.spent(s)
 }
 
 // hopeless says whether a call can hardly stand in time at a pressed server, as far as its latest answer
@@ -1000,10 +1006,8 @@
 	case c.divided:
 		own = c.alone
 	}
-	if s.total > 0 && c.holding > 0 {
-		return part * own * float64(s.total) / c.holding.Seconds()
-	} else if c.divided && own == 0 {
-		return 0
+	if s.total > 0 && c.holding > 0 || c.divided && own == 0 {
+		return part * own * float64(s.total) / max(c.holding, 1).Seconds()
 	}
 	return part * c.own.lambda() / float64(len(c.servers))
 }
--- a/fingerprint.go
+++ b/fingerprint.go
@@ -82,6 +82,7 @@
 	f.until(s.probe)
 	f.until(s.gapUntil)
 	f.until(s.parted)
+	f.until(s.cared)
 	f.real(s.credit)
 	f.real(s.part)
 	f.real(s.rate)
@@ -122,8 +123,9 @@
 	f.past(c.lastLate)
 	f.until(c.wake)
 	f.real(c.loss)
-	f.flags(c.drawn, c.divided)
+	f.flags(c.drawn, c.divided, c.further.Limited)
 	f.real(c.alone)
+	f.number(int64(c.further.Left))
 	f.meter(&c.own)
 	f.number(int64(len(c.servers)))
 	for _, s := range c.servers {
--- a/internal/drill/judge.go
+++ b/internal/drill/judge.go
@@ -196,6 +196,19 @@
 		}
 	case "limit-rate":
 		return s.limitRate(r, h)
+	case "limit-further":
+		calls, attempts := 0, 0
+		for _, c := range s.calls("any") {
+			calls++
+			attempts += c.Received
+		}
+		bound := float64(count(h.Args[0]))/100*float64(r.Offered) + float64(count(h.Args[1]))
+		slack := bound - float64(attempts-calls)
+		r.Measured[fmt.Sprintf("further attempts (bound %.0f)", bound)] = Figures{N: calls, Most: float64(attempts - calls)}
+		if slack < 0 || attempts == calls {
+			return fmt.Sprintf("%d further attempts for %d calls, bound %.0f", attempts-calls, calls, bound), nil
+		}
+		return "", &slack
 	case "limit-calls":
 		return s.limitCalls(r, h)
 	case "recovers":
@@ -384,15 +397,16 @@
 // jitter is how much set-ups may crowd together on their way from their router to their case server.
 const jitter = 100 * time.Millisecond
 
-// calls of a class (any: all) as the case servers saw them, each once, however many attempts it took.
+// calls of a class (any: all; digits: numbers that begin so) as the case servers saw them, each once, however many attempts it took.
 func (s *stage) calls(class string) map[string]standin.Seen {
 	all := map[string]standin.Seen{}
 	for _, one := range append(s.gone, s.servers...) {
 		for id, c := range one.Calls() {
-			if class != "any" && c.Class != class {
+			if number := class[0] >= '0' && class[0] <= '9'; class != "any" && c.Class != class && !(number && strings.HasPrefix(c.Number, class)) {
 				continue
 			}
 			if was, ok := all[id]; ok {
+				c.Received += was.Received
 				if was.First.Before(c.First) {
 					c.First = was.First
 				}
--- a/internal/drill/plan.go
+++ b/internal/drill/plan.go
@@ -32,8 +32,11 @@
 	Holds       []Hold
 	Agents      int              // that a case server says it has; 0: very many
 	Redials     int              // of callers who are refused
+	Numbers     []string         // beginnings of the numbers called
+	Answer      [2]time.Duration // how long a case server takes to answer
 	Stand       [2]time.Duration // how long a call stands at its case server
 	More        string           // further sections of the processes' settings
+	Own         string           // the same, of routers alone; $DIR is a folder of each one
 }
 
 // Fault is one thing done at a time.
@@ -58,11 +61,13 @@
 var faultForms = map[string]string{
 	"kill": "p", "stop": "p", "wake": "p", "term": "p", "start": "p", "twin": "p", "wipe": "p", "damage": "p", "fill": "p", "empty": "p", "step": "pd", "dying": "pwn",
 	"cut": "pp", "cut-to": "pp", "heal": "pp", "heal-all": "", "delay": "ppdd", "slow": "ppn", "reset": "pp", "stall": "pp", "flap": "ppd", "intrude": "wp", "call-only": "p", "replace": "p", "load": "n", "limit-set": "ww", "limit-unset": "w",
+	"flood": "pwn", "behave": "pw",
 }
 
 var holdForms = map[string]string{
 	"one-acts": "", "one-leads": "", "lead-within": "d", "known-within": "d", "lost-calls": "n", "stood-share": "n", "acts": "pdd", "silent": "pdd", "leads-none": "dd", "exits": "p",
 	"limit-rate": "wnddn", "limit-calls": "wn", "use-rate": "wnddn", "limit-cold": "pnddn", "recovers": "ddn",
+	"limit-further": "nn",
 }
 
 var process = sync.OnceValue(func() *regexp.Regexp {
@@ -105,13 +110,17 @@
 	s.Int("cycles", &p.Cycles, 1, 1000)
 	s.Span("period", &p.Period, 0, time.Hour)
 	s.String("settings", &p.More)
-	p.Stand = [2]time.Duration{100 * time.Millisecond, 400 * time.Millisecond}
-	if v := s.Strings("stand"); v != nil {
-		if len(v) == 2 {
-			p.Stand = [2]time.Duration{span(v[0]), span(v[1])}
-		}
-		if len(v) != 2 || p.Stand[0] <= 0 || p.Stand[1] < p.Stand[0] {
-			s.Errorf("stand", "two durations are wanted")
+	s.String("router-settings", &p.Own)
+	p.Numbers = s.Strings("numbers")
+	p.Stand, p.Answer = [2]time.Duration{100 * time.Millisecond, 400 * time.Millisecond}, [2]time.Duration{2 * time.Millisecond, 30 * time.Millisecond}
+	for field, times := range map[string]*[2]time.Duration{"stand": &p.Stand, "answer": &p.Answer} {
+		if v := s.Strings(field); v != nil {
+			if len(v) == 2 {
+				*times = [2]time.Duration{span(v[0]), span(v[1])}
+			}
+			if len(v) != 2 || times[0] <= 0 || times[1] < times[0] {
+				s.Errorf(field, "two durations are wanted")
+			}
 		}
 	}
 	if p.Name == "" {
@@ -205,7 +214,7 @@
 	return ""
 }
 
-func mapKeys(m map[string]string) func(func(string) bool) {
+func mapKeys[V any](m map[string]V) func(func(string) bool) {
 	return func(yield func(string) bool) {
 		for k := range m {
 			if !yield(k) {
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -122,6 +122,7 @@
 	only    []string // routers that callers connect to; nil: all
 	led     string   // whom "leader" meant last
 	load    *standin.Load
+	floods  []*standin.Load
 	intrud  []Intrusion
 	flaps   []context.CancelFunc
 	before  use
@@ -256,6 +257,9 @@
 	if s.load != nil {
 		counts = s.load.Wait()
 	}
+	for _, one := range s.floods {
+		counts.Odd += one.Wait().Odd
+	}
 	exits := map[string]int{}
 	for id, p := range s.procs {
 		if p.cmd != nil && !p.runs() && !p.killed {
@@ -283,7 +287,7 @@
 		return err
 	}
 	for i := range s.plan.Servers {
-		one, err := standin.NewServer(standin.ServerConfig{ID: fmt.Sprintf("s%d", i), Number: i, Seed: uint64(s.plan.Seed), AnswerWithin: [2]time.Duration{2 * time.Millisecond, 30 * time.Millisecond},
+		one, err := standin.NewServer(standin.ServerConfig{ID: fmt.Sprintf("s%d", i), Number: i, Seed: uint64(s.plan.Seed), AnswerWithin: s.plan.Answer,
 			Hold: s.plan.Stand, Agents: s.plan.Agents})
 		if err != nil {
 			return err
@@ -363,6 +367,7 @@
 	}
 	fmt.Fprintf(&b, ")\n%s", s.plan.More)
 	if !keeper {
+		b.WriteString(strings.ReplaceAll(s.plan.Own, "$DIR", p.dir))
 		fmt.Fprintf(&b, "  (trace (directory %q) (file-mb 8) (total-mb 64))\n", filepath.Join(p.dir, "trace"))
 	}
 	b.WriteString(")\n")
@@ -464,11 +469,43 @@
 	return fmt.Errorf("the fleet has not formed within %v:%s", time.Since(s.start).Round(time.Second), b.String())
 }
 
+// flood has callers call numbers that begin so at one router, so often a second, beside the others and until the drill is over.
+func (s *stage) flood(ids []string, number string, rate int) error {
+	if s.load == nil || len(ids) != 1 || s.wires[[2]string{"c0", ids[0]}] == nil {
+		return fmt.Errorf("no router to call")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s.flaps = append(s.flaps, stop)
+	w := s.wires[[2]string{"c0", ids[0]}]
+	s.floods = append(s.floods, standin.StartLoad(ctx, standin.LoadConfig{Target: w.addr, Connections: 2 + rate/300, Seed: uint64(s.plan.Seed) + 1000 + uint64(len(s.floods)), Rate: float64(rate), Classes: []string{"voice", "data"},
+		Numbers: []string{number}, Servers: s.plan.Servers}))
+	return nil
+}
+
+// behaviours of case servers by name.
+var behaviours = map[string]standin.Behaviour{"fit": {}, "hang": {Hang: true}, "slow4": {Slow: 4}, "slow40": {Slow: 40}, "full": {Reject: 1}, "full-half": {Reject: 0.5}}
+
+func (s *stage) behave(ids []string, how string) error {
+	b, ok := behaviours[how]
+	if !ok {
+		return fmt.Errorf("%q is none of %s", how, strings.Join(slices.Sorted(mapKeys(behaviours)), ", "))
+	}
+	for _, id := range ids {
+		at := count(strings.TrimPrefix(id, "s"))
+		if id[0] != 's' || at >= len(s.servers) {
+			return fmt.Errorf("no case server %q", id)
+		}
+		s.servers[at].Behave(b)
+	}
+	return nil
+}
+
 // call has callers at work, through links of their own to each router.
 func (s *stage) call(ctx context.Context) {
 	var turn atomic.Uint64
 	// A router takes 400 set-ups a second from one connection: who redials wants more of them.
 	s.load = standin.StartLoad(ctx, standin.LoadConfig{Connections: (2 + min(s.plan.Redials, 6)) * s.plan.Routers, Seed: uint64(s.plan.Seed), Rate: float64(s.plan.Load), Classes: []string{"voice", "data"}, Redials: s.plan.Redials, RedialIn: time.Second,
+		Numbers: s.plan.Numbers, Servers: s.plan.Servers,
 		Target: func() string {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -514,7 +551,7 @@
 			return fmt.Errorf("no case server %q", id)
 		}
 		old := s.servers[at]
-		one, err := standin.NewServer(standin.ServerConfig{ID: id + "x", Number: at, Seed: uint64(s.plan.Seed) + 99, AnswerWithin: [2]time.Duration{2 * time.Millisecond, 30 * time.Millisecond}, Hold: s.plan.Stand, Agents: s.plan.Agents})
+		one, err := standin.NewServer(standin.ServerConfig{ID: id + "x", Number: at, Seed: uint64(s.plan.Seed) + 99, AnswerWithin: s.plan.Answer, Hold: s.plan.Stand, Agents: s.plan.Agents})
 		if err != nil {
 			return err
 		}
@@ -633,6 +670,10 @@
 		}
 	case "replace":
 		err = s.replace(h.Who)
+	case "flood":
+		err = s.flood(h.Who, f.Args[1], count(f.Args[2]))
+	case "behave":
+		err = s.behave(h.Who, f.Args[1])
 	case "limit-set", "limit-unset":
 		args := append([]string{"fleet", "limits", strings.TrimPrefix(f.What, "limit-")}, f.Args...)
 		cmd := exec.Command(s.opt.Program, append(args, "--why", "drill", "--settings", filepath.Join(s.procs["k1"].dir, "settings.edn"))...)
--- a/internal/fleetio/fleet.go
+++ b/internal/fleetio/fleet.go
@@ -39,8 +39,10 @@
 	Log    zerolog.Logger
 	Facts  func(fleet.Note) // hears each note on the loop; nil: nobody
 	// Parts hears, on the loop, of this router's parts of what cold case servers may be sent, for how long from now they hold, and what it has without; nil: nobody.
-	Parts  func(parts []quota.Part, hold time.Duration, alone float64)
-	Limits []quota.Limit // of the settings; nil: this process divides and holds none
+	Parts func(parts []quota.Part, hold time.Duration, alone float64)
+	// Further has the decisions told, on the loop, of further attempts that they are lent; nil: nobody.
+	Further func(lend func(left int) (lent int, limited bool))
+	Limits  []quota.Limit // of the settings; nil: this process divides and holds none
 }
 
 // Fleet is a process's part of its fleet.
@@ -429,6 +431,18 @@
 	}
 }
 
+// Yield leaves the fleet while the process goes on with what it has: another has taken its place, and takes its name as soon as the log has the word.
+// It admits nothing from now on that the fleet divides.
+func (f *Fleet) Yield() {
+	if f.member == nil {
+		return
+	}
+	select {
+	case f.tasks <- f.member.Leave:
+	default: // its lease ends by itself
+	}
+}
+
 // Failed says whether this keeper has halted.
 func (f *Fleet) Failed() bool { return f.failed.Load() }
 
--- a/internal/fleetio/limits.go
+++ b/internal/fleetio/limits.go
@@ -190,6 +190,9 @@
 		less = g.Take(now, s.seq, s.until, s.grants) || less
 		f.tellParts(now)
 	}
+	if f.cfg.Further != nil && g.Retries() {
+		f.cfg.Further(g.Lend)
+	}
 	if now < g.next && !less {
 		return g.next - now
 	}
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -43,6 +43,7 @@
 	Islands     float64       // the leading keeper and a member are cut off together, and the keeper is stopped again and again
 	Puts        float64       // facts asked for, a second
 	Limits      []quota.Limit // on classes of their own names
+	Steady      bool          // demand stays as first drawn
 	Swing       int           // how often demand goes elsewhere, in 1,000 looks; 0: 10
 	Demand      float64       // calls a second at a router, in the mean, for each limit; it swings
 	Quiet       time.Duration // no trouble in the last so long: whatever can act has to
@@ -81,7 +82,8 @@
 	Trouble  []string
 	Limited  map[string]*Limited
 	Held     []Holding
-	Heard    map[string]uint64 // versions by value, as any member heard of them
+	Demands  map[string]float64 // of routers, at the end
+	Heard    map[string]uint64  // versions by value, as any member heard of them
 }
 
 // Holding is the time from the first to the last act of an incarnation.
@@ -97,13 +99,16 @@
 	Level, Most       float64 // of a bucket that leaks at the limit, in calls; or calls at once
 	Bound             float64
 	last              time.Duration
+	low               float64
 	Late              int                // admitted in the last ten seconds
 	By                map[string]float64 // the same by router
+	Firsts, Further   int                // of retries: first tries, and further attempts and marked retries that were let through
 }
 
 type process struct {
 	gate    *quota.Gate
 	demand  float64
+	further int // attempts that its decisions have been lent
 	slot    uint32
 	name    string
 	keeper  *fleet.Keeper
@@ -177,6 +182,7 @@
 	w := &world{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 77)), byVoter: map[uint64]*process{}, links: map[fleet.Link]*link{}, cut: map[[2]*process]bool{}, sum: fnv.New64a(),
 		acting: map[string]uint64{}, actAt: map[string]time.Duration{}, owner: map[uint64]*process{}, lastActs: map[uint64]time.Duration{}, entries: map[uint64][]byte{}, applied: map[*process]uint64{}}
 	w.res.Slack, w.res.Heard, w.res.Limited = time.Hour, map[string]uint64{}, map[string]*Limited{}
+	w.res.Demands = map[string]float64{}
 	for _, l := range cfg.Limits {
 		bound := l.Most
 		if l.Kind == quota.Rate {
@@ -185,6 +191,9 @@
 				bound = l.Most*l.Burst.Seconds() + float64(l.Routers)
 			}
 		}
+		if l.Kind == quota.Retries {
+			bound = 10 * 2 * float64(cfg.Members) // twins, too
+		}
 		w.res.Limited[l.Name] = &Limited{Bound: bound, By: map[string]float64{}}
 	}
 	t := &w.cfg.Terms
@@ -224,6 +233,9 @@
 	}
 	w.ending()
 	w.res.Sum = w.sum.Sum64()
+	for _, p := range w.members {
+		w.res.Demands[p.name] = p.demand
+	}
 	for i := range w.res.Held {
 		w.res.Held[i].Last = w.lastActs[w.res.Held[i].Incarnation]
 	}
@@ -267,7 +279,7 @@
 	} else {
 		p.member = fleet.NewMember(w.cfg.Terms, p.name, w.random.Uint64()>>1+1)
 		if len(w.cfg.Limits) > 0 {
-			p.gate = quota.NewGate(p.clock(w.now), w.cfg.Limits)
+			p.gate, p.further = quota.NewGate(p.clock(w.now), w.cfg.Limits), 0
 			p.member.Ride = func() []byte { return p.gate.Say(p.clock(w.now)) }
 			p.member.Rode = func(seq uint64, until time.Duration, ride []byte) {
 				if grants, ok := quota.ReadGrants(ride); ok && p.gate.Take(p.clock(w.now), seq, until, grants) {
@@ -363,7 +375,7 @@
 	if p.gate == nil {
 		return
 	}
-	if w.random.IntN(1000) < max(w.cfg.Swing, 10) || p.demand == 0 { // now and then demand goes elsewhere
+	if !w.cfg.Steady && w.random.IntN(1000) < max(w.cfg.Swing, 10) || p.demand == 0 { // now and then demand goes elsewhere
 		p.demand = w.cfg.Demand * w.random.ExpFloat64()
 	}
 	now := p.clock(w.now)
@@ -371,6 +383,10 @@
 		p.member.Hurry(250 * time.Millisecond)
 	}
 	for _, l := range w.cfg.Limits {
+		if l.Kind == quota.Retries {
+			w.retry(p, l)
+			continue
+		}
 		for n := p.demand * fleet.TickEvery.Seconds(); w.random.Float64() < n; n-- {
 			p.slot++
 			slot := p.slot % 100_000
@@ -380,6 +396,9 @@
 				continue
 			}
 			have.Admitted++
+			if all := w.res.Limited["retries"]; all != nil { // a first try, too, that earns its part
+				all.Firsts++
+			}
 			if w.now > w.cfg.For-10*time.Second {
 				have.Late++
 				have.By[p.name]++
@@ -404,6 +423,40 @@
 	}
 }
 
+// retry has callers try at a router, of whom many try again, and its decisions make further attempts for many calls: neither are more than first tries have earned.
+func (w *world) retry(p *process, l quota.Limit) {
+	have, now := w.res.Limited[l.Name], p.clock(w.now)
+	for n := p.demand * fleet.TickEvery.Seconds(); w.random.Float64() < n; n-- {
+		p.slot++
+		marked := w.random.IntN(2) == 0
+		ok, _, _ := p.gate.Admit(now, p.slot%100_000, l.Name, "", "", marked)
+		switch {
+		case ok && !marked:
+			have.Firsts++
+		case ok:
+			have.Further++
+		default:
+			have.Refused++
+		}
+		for w.random.IntN(3) == 0 { // an attempt of a call fails
+			if p.further == 0 {
+				have.Refused++
+				break
+			}
+			p.further--
+			have.Further++
+		}
+		p.further, _ = p.gate.Lend(p.further)
+	}
+	have.Admitted = have.Firsts + have.Further
+	over := float64(have.Further) - l.Most*float64(have.Firsts) // since the beginning: never, for nothing is earned ahead of first tries
+	have.low = min(have.low, over)
+	have.Level = over - have.low // in the worst time until now: what each had in its bucket
+	if have.Most = max(have.Most, have.Level); over > 1e-6 || have.Level > have.Bound {
+		w.broken("limit %s: %.2f further attempts and retries over, %.2f in some time, bound %.2f", l.Name, over, have.Level, have.Bound)
+	}
+}
+
 // send puts a message on the network: it may be lost, late, twice, or overtaken.
 func (w *world) send(from, to *process, frame *fleetpb.Frame, deliver func(*fleetpb.Frame)) {
 	if to == nil || w.cut[[2]*process{from, to}] || w.random.Float64() < w.cfg.Loss {
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -1,7 +1,9 @@
 package fleetsim
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
@@ -168,6 +170,7 @@
 		{Name: "slow", Class: "slow", Kind: quota.Rate, Most: float64(members) / 5, Burst: 200 * time.Millisecond}, // less than a call a second each
 		{Name: "calls", Class: "calls", Kind: quota.Calls, Most: float64(3 * members), Longest: 8 * time.Second},
 		{Name: "floor", Class: "floor", Kind: quota.Rate, Most: float64(4 * members), Burst: 200 * time.Millisecond, CutOff: quota.Floor, Floor: 0.5, Routers: 4 * members},
+		{Name: "retries", Kind: quota.Retries, Most: 0.2},
 	}
 }
 
@@ -189,23 +192,46 @@
 	}
 }
 
-// TestUse compares with a central limiter, without faults: after two leases of steady demand at least 0.95 of the limit is used.
+// TestUse compares with a central limiter, without faults, with demand that swings and with demand that stays: of steady demand at least 0.95 of the limit is admitted, divided as
+// evenly as the demands allow.
 func TestUse(t *testing.T) {
-	cfg := Default(7)
-	cfg.Cuts, cfg.Pauses, cfg.Kills, cfg.Twins, cfg.Islands, cfg.Loss, cfg.Twice, cfg.Puts = 0, 0, 0, 0, 0, 0, 0, 0
-	cfg.For, cfg.Quiet = 30*time.Second, 0
-	cfg.Limits, cfg.Demand = limits(cfg.Members)[:1], 40
-	cfg.Limits[0].Most *= 5
-	r := check(t, cfg)
-	use := float64(r.Limited["rate"].Late) / (10 * cfg.Limits[0].Most)
-	var sum, squares float64 // Jain's index: 1 where all have the same
-	for _, n := range r.Limited["rate"].By {
-		sum, squares = sum+n, squares+n*n
+	for _, steady := range []bool{false, true} {
+		cfg := Default(7)
+		cfg.Cuts, cfg.Pauses, cfg.Kills, cfg.Twins, cfg.Islands, cfg.Loss, cfg.Twice, cfg.Puts = 0, 0, 0, 0, 0, 0, 0, 0
+		cfg.For, cfg.Quiet, cfg.Steady = 30*time.Second, 0, steady
+		cfg.Limits, cfg.Demand = limits(cfg.Members)[:1], 40
+		cfg.Limits[0].Most *= 5
+		r := check(t, cfg)
+		have := r.Limited["rate"]
+		use := float64(have.Late) / (10 * cfg.Limits[0].Most)
+		var sum, squares float64 // Jain's index: 1 where all have the same
+		for name, n := range have.By {
+			if steady { // of what a central limiter would give it
+				n /= 10 * ideal(cfg.Limits[0].Most, r.Demands)[name]
+			}
+			sum, squares = sum+n, squares+n*n
+		}
+		jain := sum * sum / (float64(cfg.Members) * squares)
+		t.Logf("steady %v: %.3f of the limit used, Jain's index of the routers %.3f", steady, use, jain)
+		if steady {
+			require.Greater(t, jain, 0.98)
+			require.GreaterOrEqual(t, use, 0.95)
+			continue
+		}
+		require.Greater(t, jain, 0.85)
+		require.Greater(t, use, 0.9)
+	}
+}
+
+// ideal is the max-min fair division of a rate among demands.
+func ideal(rate float64, demands map[string]float64) map[string]float64 {
+	share := map[string]float64{}
+	names := slices.SortedFunc(maps.Keys(demands), func(a, b string) int { return cmp.Compare(demands[a], demands[b]) })
+	for i, name := range names {
+		share[name] = min(demands[name], rate/float64(len(names)-i))
+		rate -= share[name]
 	}
-	jain := sum * sum / (float64(cfg.Members) * squares)
-	t.Logf("%.3f of the limit used with swinging demand, Jain's index of the routers %.3f", use, jain)
-	require.Greater(t, jain, 0.85)
-	require.Greater(t, use, 0.9)
+	return share
 }
 
 // BenchmarkFleet measures a quiet fleet: messages and bytes a second in all, once everybody has begun.
--- a/internal/fleetsim/mutant_test.go
+++ b/internal/fleetsim/mutant_test.go
@@ -62,8 +62,10 @@
 					cfg.Limits[2].Longest, cfg.MemberKills = 30*time.Second, 0.5
 				}
 				for i := range cfg.Limits {
-					cfg.Limits[i].Burst = 50 * time.Millisecond
-					cfg.Limits[i].Most *= 4
+					if cfg.Limits[i].Kind != quota.Retries {
+						cfg.Limits[i].Burst = 50 * time.Millisecond
+						cfg.Limits[i].Most *= 4
+					}
 				}
 				cfg.Demand *= 8
 				quota.Mutate(mutant)
--- a/internal/node/product.go
+++ b/internal/node/product.go
@@ -150,7 +150,7 @@
 		signal.Ignore(syscall.SIGXFSZ) // a limit on files is an error of the write, which stops the vote and not the process
 	}
 	n.fleet, err = fleetio.Open(fleetio.Config{Options: *n.config.Product.Fleet, FS: n.files(), Name: n.config.Name, Member: true, Wake: n.Loop.Nudge, Log: n.log,
-		Limits: n.config.Product.Limits, Parts: n.parts})
+		Limits: n.config.Product.Limits, Parts: n.parts, Further: n.further})
 	if err == nil && n.fleet.Limited() {
 		n.cold(n.config.Servers)
 	}
@@ -165,6 +165,14 @@
 	}
 }
 
+// further has the decisions told how many further attempts they may make.
+func (n *Node) further(lend func(int) (int, bool)) {
+	n.Router.Further(func(left int) threadglade.Further {
+		lent, limited := lend(left)
+		return threadglade.Further{Limited: limited, Left: lent}
+	})
+}
+
 // cold tells the fleet which case servers have just started.
 func (n *Node) cold(servers []sip.Server) {
 	var list []quota.Server
--- a/internal/node/turnover.go
+++ b/internal/node/turnover.go
@@ -199,6 +199,9 @@
 		if t.door != nil {
 			t.door.Close()
 		}
+		if n.fleet != nil {
+			n.fleet.Yield()
+		}
 		n.front.Pass(t.next)
 		n.log.Info().Str("event", "handed_over").Int("open", n.Router.Open()).Msgf("callers handed over: %d requests are still answered from here", n.Router.Open())
 	case fd < 0 && n.front.Hear(kind, payload):
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -25,6 +25,7 @@
 	Most     int // set-ups in all; 0: until the context ends
 	Classes  []string
 	Numbers  []string // beginnings of the numbers called
+	Servers  int      // calls ask for the case servers numbered below; 0: 2
 	Within   time.Duration
 	HangUp   float64 // share of standing calls that their callers release
 	HangUpIn time.Duration
@@ -81,6 +82,9 @@
 	if cfg.Window == 0 {
 		cfg.Window = 16
 	}
+	if cfg.Servers == 0 {
+		cfg.Servers = 2
+	}
 	l := &Load{cfg: cfg, ends: map[string]string{}, hung: map[string]bool{}, conns: map[*callerConn]bool{}, tries: map[string]int{}, firsts: map[string]*Try{}, prefix: rand.New(rand.NewPCG(cfg.Seed, 1)).Uint64() &^ 0xffffffff}
 	l.SetRate(cfg.Rate)
 	for i := range cfg.Connections {
@@ -248,7 +252,7 @@
 	if len(l.cfg.Numbers) > 0 {
 		number = l.cfg.Numbers[c.random.IntN(len(l.cfg.Numbers))] + strconv.Itoa(c.random.IntN(1000))
 	}
-	headers := []string{"Call-Kind", class, "Answer-Within", strconv.Itoa(int(l.cfg.Within.Milliseconds())), "Routing-Data", "dest:" + strconv.Itoa(c.random.IntN(2)) + ";width:1;via:-1"}
+	headers := []string{"Call-Kind", class, "Answer-Within", strconv.Itoa(int(l.cfg.Within.Milliseconds())), "Routing-Data", "dest:" + strconv.Itoa(c.random.IntN(l.cfg.Servers)) + ";width:1;via:-1"}
 	if redials > 0 || c.random.Float64() < l.cfg.Repeats {
 		headers = append(headers, "Repeat-Mark", "1")
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// hungFor is when a set-up that a hung case server took would be answered: its router has given it up long before.
+const hungFor = time.Hour
+
 // ServerConfig says how a case server behaves.
 type ServerConfig struct {
 	ID           string
@@ -48,6 +51,8 @@
 	calls    map[string]*seen
 	owed     []release // whose end has not been heard, or perhaps not
 	closed   bool
+	hang     bool
+	slow     float64
 	count    ServerCounts
 }
 
@@ -105,6 +110,20 @@
 	}
 }
 
+// Behaviour is how a case server does from some moment on.
+type Behaviour struct {
+	Hang   bool    // it takes set-ups and answers none
+	Slow   float64 // an answer takes so many times as long; 0: as ever
+	Reject float64 // share of set-ups that it turns away as processor full
+}
+
+// Behave changes how it does. Set-ups that it had left unanswered stay so.
+func (s *Server) Behave(b Behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hang, s.slow, s.cfg.Reject = b.Hang, b.Slow, b.Reject
+}
+
 // Counts returns the totals.
 func (s *Server) Counts() ServerCounts {
 	s.mu.Lock()
@@ -232,7 +251,14 @@
 			w.send(Response(503, "INVITE", id, "", "Fail-Word", "swamped"))
 			return
 		}
-		c.timer = time.AfterFunc(s.between(s.cfg.AnswerWithin), func() { s.answer(id, c) })
+		within := s.between(s.cfg.AnswerWithin)
+		if s.slow > 0 {
+			within = time.Duration(float64(within) * s.slow)
+		}
+		if s.hang {
+			within = hungFor
+		}
+		c.timer = time.AfterFunc(within, func() { s.answer(id, c) })
 	case m.Method() == "CANCEL":
 		if c := s.calls[id]; c != nil && c.timer != nil && !c.Answered && !c.GivenUp {
 			c.giveUp(s)
--- a/quota/gate.go
+++ b/quota/gate.go
@@ -12,27 +12,29 @@
 	adviseMost  = 2 * time.Second
 	// slotsMost open calls are counted one by one; a call beyond is refused by any limit that it meets.
 	slotsMost = 1 << 20
-	// retriesMost is what first tries can earn ahead.
+	// retriesMost is what first tries can earn ahead, and lentMost what of it waits with the decisions for further attempts.
 	retriesMost = 10
+	lentMost    = 4
 	// idleFor is how long what holds for each tenant, number or class is kept after its last call.
 	idleFor = 10 * time.Second
 )
 
 // Gate is a router's part: it admits by the shares that the router has now. Its methods are for one goroutine.
 type Gate struct {
-	limits []*held
-	free   []uint16            // places in limits that serve again
-	plain  []uint16            // limits that are looked at for each call
-	each   []map[string]uint16 // beside plain: what is active of a limit that holds for each value; nil: another
-	until  time.Duration       // the shares end, with the lease
-	taken  uint64              // sequence of the answer that was taken last
-	slots  [][matchMost]uint16
-	match  [matchMost]uint16
-	met    int
-	swept  time.Duration
-	born   time.Duration
-	all    held // of which only what came is measured: all calls, where servers' parts are asked for by them
-	Count  Counters
+	limits  []*held
+	free    []uint16            // places in limits that serve again
+	plain   []uint16            // limits that are looked at for each call
+	each    []map[string]uint16 // beside plain: what is active of a limit that holds for each value; nil: another
+	until   time.Duration       // the shares end, with the lease
+	taken   uint64              // sequence of the answer that was taken last
+	slots   [][matchMost]uint16
+	match   [matchMost]uint16
+	met     int
+	swept   time.Duration
+	born    time.Duration
+	retries bool // a limit of them is, or has been, in force
+	all     held // of which only what came is measured: all calls, where servers' parts are asked for by them
+	Count   Counters
 }
 
 // Counters of a Gate.
@@ -50,6 +52,7 @@
 	open    int           // calls counted
 	came    float64       // since it was measured
 	arrived float64       // smoothed, a second
+	lent    int           // of Retries: with the decisions, when last looked at
 	passed  float64
 	seen    time.Duration // of both
 	last    time.Duration // when a call came
@@ -86,6 +89,7 @@
 	}
 	g.plain, g.each = nil, nil
 	for _, l := range limits {
+		g.retries = g.retries || l.Kind == Retries
 		if l.Kind == Cold {
 			l.Each, l.Most = eachServer, 1
 		}
@@ -283,7 +287,7 @@
 		case h.Kind == Rate || retry:
 			h.tokens--
 		default: // a first try earns its part of a retry
-			h.tokens = min(h.tokens+h.Most, retriesMost)
+			h.tokens = min(h.tokens+h.Most, float64(retriesMost-h.lent))
 		}
 	}
 	if full != nil {
@@ -298,6 +302,34 @@
 	return true, "", 0
 }
 
+// Retries says whether a limit of retries is in force, or the decisions have to hear that it is no more.
+func (g *Gate) Retries() bool { return g.retries }
+
+// Lend says how many further attempts the decisions may make from now on, of which left are left of those lent before: what first tries have earned is lent a
+// little at a time, and what was spent has left the bucket already. Only limits that count all calls bound them, for the decisions do not ask for each; limited is false
+// where there is none.
+func (g *Gate) Lend(left int) (lend int, limited bool) {
+	lend = lentMost
+	for _, at := range g.plain {
+		if h := g.limits[at-1]; h.Kind == Retries && h.Class == "" && h.Tenant == "" && h.Number == "" {
+			limited, h.lent = true, left
+			lend = min(lend, left+int(h.tokens))
+		}
+	}
+	if !limited || lend <= left {
+		return max(left, 0), limited
+	}
+	for _, at := range g.plain {
+		if h := g.limits[at-1]; h.Kind == Retries && h.Class == "" && h.Tenant == "" && h.Number == "" {
+			if mutant != "lent-for-nothing" {
+				h.tokens -= float64(lend - left)
+			}
+			h.lent = lend
+		}
+	}
+	return lend, true
+}
+
 // place remembers which limits count a call until it is over.
 func (g *Gate) place(slot uint32) bool {
 	if int(slot) >= slotsMost {
--- a/quota/mutant_on.go
+++ b/quota/mutant_on.go
@@ -7,6 +7,7 @@
 
 // Mutants are the faults that a build for tests can have, by name.
 var Mutants = map[string]string{
+	"lent-for-nothing": "further attempts are lent and not taken out of what first tries have earned",
 	"share-too-early":  "what a router is to give back is given out before it has confirmed",
 	"share-for-ever":   "a router goes on by its share when its lease is over",
 	"forgetful-leader": "a new leading keeper takes what it has not granted itself for free",
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -385,26 +385,30 @@
 	})
 }
 
-// BenchmarkDivider measures the leading keeper's work for a second of 300 routers with 10,000 limits active, a hundred at each router, all of which ask once.
+// BenchmarkDivider measures the leading keeper's work for one ask of each of 300 routers with 10,000 limits active, of which so many at each router.
 func BenchmarkDivider(b *testing.B) {
-	d := NewDivider([]Limit{{Name: "each", Kind: Rate, Most: 10, Each: EachTenant}}, time.Second, 0.01)
-	d.Office(0, nil, nil)
-	claims := make([][]Claim, 300)
-	for r := range claims {
-		for i := range 100 {
-			claims[r] = append(claims[r], Claim{Limit: fmt.Sprint("each/t", (r*33+i*97)%10_000), Demand: float64(i%7 + 1)})
-		}
-	}
-	now, seq := 2*time.Second, uint64(0)
-	for b.Loop() {
-		now += time.Second
-		seq++
-		for r := range claims {
-			grants, _ := d.Asked(now, fmt.Sprint("r", r), uint64(r+1), uint64(r+1), seq, seq-1, claims[r], nil)
-			for i, g := range grants {
-				claims[r][i].Limit, claims[r][i].Held = g.Limit, g.Share
+	for _, each := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprint(each), func(b *testing.B) {
+			d := NewDivider([]Limit{{Name: "each", Kind: Rate, Most: 10, Each: EachTenant}}, time.Second, 0.01)
+			d.Office(0, nil, nil)
+			claims := make([][]Claim, 300)
+			for r := range claims {
+				for i := range each {
+					claims[r] = append(claims[r], Claim{Limit: fmt.Sprint("each/t", (r*33+i*97)%10_000), Demand: float64(i%7 + 1)})
+				}
 			}
-		}
+			now, seq := 2*time.Second, uint64(0)
+			for b.Loop() {
+				now += time.Second
+				seq++
+				for r := range claims {
+					grants, _ := d.Asked(now, fmt.Sprint("r", r), uint64(r+1), uint64(r+1), seq, seq-1, claims[r], nil)
+					for i, g := range grants {
+						claims[r][i].Limit, claims[r][i].Held = g.Limit, g.Share
+					}
+				}
+			}
+			b.ReportMetric(float64(len(d.active)), "active")
+		})
 	}
-	b.ReportMetric(float64(len(d.active)), "active")
 }
--- a/reason.go
+++ b/reason.go
@@ -7,7 +7,7 @@
 
 var reasonNames = [...]string{"", "first choice", "remembered", "drawn", "gapped", "resting", "on trial", "hopeless", "budget spent",
 	"not up", "not skilled", "no server", "unknown class", "out of time", "number busy", "crowded out", "returned", "own fault",
-	"no further attempt", "overtaken", "unbillable", "over limit"}
+	"no further attempt", "overtaken", "unbillable", "over limit", "shared verdict"}
 
 func (r Reason) String() string {
 	if r < 0 || int(r) >= len(reasonNames) {
@@ -68,6 +68,8 @@
 		return NotSkilled
 	case c.now < s.barred:
 		return Resting
+	case c.now < s.cared:
+		return SharedVerdict
 	case len(s.overdue) > 0 && c.now < s.probe || s.trial > 0 && s.out-len(s.overdue) >= s.trial:
 		return OnTrial
 	case c.hopeless(s, k):
@@ -80,6 +82,9 @@
 	return Returned
 }
 
+// FurtherLeft is what is left of the further attempts that it was told of.
+func (c *Controller) FurtherLeft() Further { return Further{c.further.Limited, max(c.further.Left, 0)} }
+
 // Obstacle is why a call waits that has neither an attempt out nor its answer, and the server of its first choice; false if it
 // is not known to wait.
 func (c *Controller) Obstacle(id string) (server string, why Reason, waits bool) {
--- a/router/router.go
+++ b/router/router.go
@@ -425,6 +425,19 @@
 // ColdPart takes this router's part of what a server that has just started may be sent by all.
 func (r *Router) ColdPart(p threadglade.ColdPart) { r.do(nil, func([]byte) { r.tell(p) }) }
 
+// Further has lend say how many further attempts this router's calls may make from here on, from how many are left.
+func (r *Router) Further(lend func(left int) threadglade.Further) {
+	r.do(nil, func([]byte) {
+		had := r.control.FurtherLeft()
+		if f := lend(had.Left); f != had {
+			r.tell(f)
+		}
+	})
+}
+
+// Care takes until when a server is to be left alone for what all routers know of it.
+func (r *Router) Care(e threadglade.Care) { r.do(nil, func([]byte) { r.tell(e) }) }
+
 // Agents takes a server's free agents.
 func (r *Router) Agents(a threadglade.Agents) {
 	r.do(nil, func([]byte) {
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -20,7 +20,8 @@
 	threadglade.CrowdedOut: "too many calls waited that are worth more", threadglade.Returned: "the server had turned it away",
 	threadglade.OwnFault: "servers had found fault with it", threadglade.NoFurther: "no further attempt was allowed or would have come in time",
 	threadglade.Overtaken: "a later set-up was answered first, so this one was lost", threadglade.Unbillable: "it could not have been billed",
-	threadglade.OverLimit: "a limit of the whole fleet was reached: the share that this router had of it was used up",
+	threadglade.SharedVerdict: "the routers together had found its first choice unfit, while this one had not",
+	threadglade.OverLimit:     "a limit of the whole fleet was reached: the share that this router had of it was used up",
 }
 
 func because(n int64) string {
