--- a/api.go
+++ b/api.go
@@ -288,4 +288,5 @@
 	Unbillable           // refused before any decision
 	OverLimit            // the same, for a limit of the whole fleet
 	SharedVerdict        // the proxies together have found it unfit
+	Spared               // sent to another for that
 )
--- a/cmd/threadglade/fleet.go
+++ b/cmd/threadglade/fleet.go
@@ -82,6 +82,7 @@
 		})
 	addDrill(add)
 	addLimits(root)
+	addVerdicts(root)
 	return root
 }
 
--- a/cmd/threadglade/limits.go
+++ b/cmd/threadglade/limits.go
@@ -167,6 +167,12 @@
 
 // sayLimit writes an operator's word on a limit.
 func sayLimit(ctx context.Context, w io.Writer, path, name, why, text string) error {
+	why = strings.ReplaceAll(why, "\n", " ")
+	return sayFact(ctx, w, path, "limit/"+name, "limit "+name, func(who string) []byte { return fleetio.Word(who, why, text) })
+}
+
+// sayFact writes an operator's word into the log.
+func sayFact(ctx context.Context, w io.Writer, path, key, label string, word func(who string) []byte) error {
 	_, o, err := fleetSettings(path, "")
 	if err != nil {
 		return err
@@ -181,7 +187,7 @@
 	if u, err := user.Current(); err == nil {
 		who = u.Username
 	}
-	put := &fleetpb.Put{Key: "limit/" + name, Value: fleetio.Word(strings.ReplaceAll(who, "\n", " "), strings.ReplaceAll(why, "\n", " "), text)}
+	put := &fleetpb.Put{Key: key, Value: word(strings.ReplaceAll(who, "\n", " "))}
 	for _, f := range r.GetState().GetFacts() {
 		if f.Key == put.Key {
 			put.Expect = f.Version
@@ -194,6 +200,6 @@
 	if version == 0 {
 		return errors.New("not taken: another word came first, it is longer than a fact may be, or the keeper leads no more; look and say it again")
 	}
-	fmt.Fprintf(w, "limit %s: version %d\n", name, version)
+	fmt.Fprintf(w, "%s: version %d\n", label, version)
 	return nil
 }
--- a/cmd/threadglade/trace.go
+++ b/cmd/threadglade/trace.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"runtime/debug"
 	"slices"
@@ -281,15 +282,30 @@
 	}
 	defer t.Close()
 	var list []trace.Record
+	cares, found, answered := map[string]trace.Record{}, false, false // what was in force as the call came, and what came while it was open
 	if err := t.Each(trace.Selection{}, func(r *trace.Record) error {
-		if r.S[trace.Call] == call {
+		switch {
+		case r.S[trace.Call] == call:
+			if !found {
+				found = true
+				for _, key := range slices.Sorted(maps.Keys(cares)) {
+					if c := cares[key]; c.S[trace.Router] == r.S[trace.Router] {
+						list = append(list, c)
+					}
+				}
+			}
+			list = append(list, *r)
+			answered = answered || r.Kind == trace.Answer
+		case r.Kind == trace.Care && !found:
+			cares[r.S[trace.Router]+" "+r.S[trace.Server]] = *r
+		case r.Kind == trace.Care && !answered && r.S[trace.Router] == list[len(list)-1].S[trace.Router]:
 			list = append(list, *r)
 		}
 		return nil
 	}); err != nil {
 		return err
 	}
-	if len(list) == 0 {
+	if !found {
 		return fmt.Errorf("%s: no call %s", path, call)
 	}
 	story := trace.Story(list)
@@ -325,6 +341,10 @@
 		for i, c := range v.Causes {
 			fmt.Fprintf(w, "%d. %s (%.2f), first sign %s\n", i+1, c.Text, c.Score, micro(c.First))
 		}
+		for _, one := range v.Shared {
+			fmt.Fprintf(w, "   %s was found %s by %d routers of %d, at the most %.0f ms old, from %s on; %d choices were changed\n", one.Server, one.Found, one.Bad, one.Others, float64(one.AgeUs)/1000,
+				micro(one.First), one.Choices)
+		}
 		for _, c := range v.Changes[:min(8, len(v.Changes))] {
 			fmt.Fprintf(w, "   by %s %q: lost %.1f, before %.1f, %.0f%% of the loss\n", c.Dimension, c.Name, c.During, c.Before, 100*c.OfferedShare)
 		}
--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -609,7 +609,7 @@
 	case m.GetLive() && g != nil && now < g.over && mutant != "eager-begin":
 		k.reply(a.link, &fleetpb.Answer{Seq: a.Seq, Leader: k.self.Name, Why: fmt.Sprintf("incarnation %d of %s has its lease for %v yet", m.Incarnation, a.name, (g.over - now).Round(time.Millisecond))})
 	case g == nil || !g.ending || mutant == "eager-begin":
-		if k.propose(&fleetpb.Entry{Id: k.random.Uint64(), What: &fleetpb.Entry_Begin{Begin: &fleetpb.Begin{Name: a.name, Process: a.Process, After: m.GetIncarnation()}}}) == nil {
+		if k.propose(&fleetpb.Entry{Id: k.random.Uint64(), What: &fleetpb.Entry_Begin{Begin: &fleetpb.Begin{Name: a.name, Process: a.Process, After: m.GetIncarnation(), Address: a.Address, Zone: a.Zone}}}) == nil {
 			if g == nil {
 				g = &grant{}
 				k.grants[a.name] = g
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -120,7 +120,7 @@
 func (m *Machine) begin(b *fleetpb.Begin) uint64 {
 	was := m.members[b.Name]
 	switch {
-	case b.Name == "" || len(b.Name) > nameMost || was.GetIncarnation() != b.After:
+	case b.Name == "" || len(b.Name) > nameMost || len(b.Address) > nameMost || len(b.Zone) > nameMost || was.GetIncarnation() != b.After:
 		return 0
 	case was.GetLive() && was.Process == b.Process:
 		return was.Incarnation
@@ -128,7 +128,7 @@
 		return 0
 	}
 	m.Incarnations++
-	m.change(&fleetpb.Member{Name: b.Name, Incarnation: m.Incarnations, Process: b.Process, Live: true}, nil)
+	m.change(&fleetpb.Member{Name: b.Name, Incarnation: m.Incarnations, Process: b.Process, Live: true, Address: b.Address, Zone: b.Zone}, nil)
 	return m.Incarnations
 }
 
@@ -151,7 +151,7 @@
 	if !was.GetLive() || was.Incarnation != e.Incarnation {
 		return 0
 	}
-	m.change(&fleetpb.Member{Name: was.Name, Incarnation: was.Incarnation, Process: was.Process, Left: e.Left}, nil)
+	m.change(&fleetpb.Member{Name: was.Name, Incarnation: was.Incarnation, Process: was.Process, Left: e.Left, Address: was.Address, Zone: was.Zone}, nil)
 	return was.Incarnation
 }
 
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -36,6 +36,8 @@
 	Terms   Terms
 	Name    string
 	Process uint64 // drawn at its start
+	Address string // where other routers reach it; empty: nowhere
+	Zone    string
 	Machine *Machine
 	Ride    func() []byte                                      // what rides on an ask; nil: nothing
 	Rode    func(seq uint64, until time.Duration, ride []byte) // hears what rode on an answer, with the end of the lease
@@ -159,6 +161,9 @@
 	}
 	m.last = now
 	ask := &fleetpb.Ask{Seq: m.seq, Process: m.Process, Incarnation: m.lease.Incarnation, Known: m.Machine.Index}
+	if !m.holds { // a new incarnation begins with them
+		ask.Address, ask.Zone = m.Address, m.Zone
+	}
 	if m.Ride != nil {
 		ask.Ride = m.Ride()
 	}
--- a/internal/drill/judge.go
+++ b/internal/drill/judge.go
@@ -108,7 +108,7 @@
 	for _, h := range s.plan.Holds {
 		v := Verdict{What: h.String()}
 		v.Why, v.Least = s.check(r, h)
-		if v.Holds, v.Unit = v.Why == "", "ms"; strings.HasPrefix(h.What, "limit-") {
+		if v.Holds, v.Unit = v.Why == "", "ms"; strings.HasPrefix(h.What, "limit-") || h.What == "sent-most" {
 			v.Unit = "calls"
 		}
 		r.Verdicts = append(r.Verdicts, v)
@@ -196,6 +196,24 @@
 		}
 	case "limit-rate":
 		return s.limitRate(r, h)
+	case "sent-most", "carries":
+		from, to := within(h.Args[1], h.Args[2])
+		return s.sentTo(r, h, from, to)
+	case "stood-within":
+		from, to := within(h.Args[0], h.Args[1])
+		tried, stood := 0, 0
+		for _, t := range s.load.Firsts() {
+			if at := t.At.Sub(s.start); at >= from && at < to {
+				tried++
+				if t.Stood {
+					stood++
+				}
+			}
+		}
+		r.Measured["first tries that stood from "+h.Args[0]+" to "+h.Args[1]+", in percent"] = Figures{N: tried, Median: 100 * float64(stood) / float64(max(tried, 1))}
+		if tried == 0 || stood*100 < count(h.Args[2])*tried {
+			return fmt.Sprintf("%d of %d stood", stood, tried), nil
+		}
 	case "limit-further":
 		calls, attempts := 0, 0
 		for _, c := range s.calls("any") {
@@ -261,6 +279,37 @@
 	return "", nil
 }
 
+// sentTo: in a time a case server is sent no more than so many set-ups, or at least such a part of what all were sent in the mean.
+func (s *stage) sentTo(r *Result, h Hold, from, to time.Duration) (string, *float64) {
+	at := count(strings.TrimPrefix(h.Args[0], "s"))
+	if h.Args[0][0] != 's' || at >= len(s.servers) {
+		return "no such case server", nil
+	}
+	all, own := 0, 0
+	for i, one := range s.servers {
+		for _, c := range one.Calls() {
+			if first := c.First.Sub(s.start); first >= from && first < to {
+				all++
+				if i == at {
+					own++
+				}
+			}
+		}
+	}
+	bound := count(h.Args[3])
+	r.Measured[fmt.Sprintf("set-ups to %s from %s to %s", h.Args[0], h.Args[1], h.Args[2])] = Figures{N: own, Median: float64(own) / (to - from).Seconds()}
+	if h.What == "sent-most" {
+		if slack := float64(bound - own); slack >= 0 {
+			return "", &slack
+		}
+		return fmt.Sprintf("%d set-ups, %d are the most", own, bound), nil
+	}
+	if part := 100 * own * len(s.servers) / max(all, 1); part < bound {
+		return fmt.Sprintf("%d%% of its part", part), nil
+	}
+	return "", nil
+}
+
 // oneActs: by name, no act of an earlier incarnation after one of a later, and no number for two processes or names.
 func oneActs(r *Result) (string, *float64) {
 	type holder struct {
--- a/internal/drill/plan.go
+++ b/internal/drill/plan.go
@@ -32,6 +32,7 @@
 	Holds       []Hold
 	Agents      int              // that a case server says it has; 0: very many
 	Redials     int              // of callers who are refused
+	Zones       int              // routers judge together, spread over so many zones; 0: they do not
 	Numbers     []string         // beginnings of the numbers called
 	Answer      [2]time.Duration // how long a case server takes to answer
 	Stand       [2]time.Duration // how long a call stands at its case server
@@ -61,13 +62,13 @@
 var faultForms = map[string]string{
 	"kill": "p", "stop": "p", "wake": "p", "term": "p", "start": "p", "twin": "p", "wipe": "p", "damage": "p", "fill": "p", "empty": "p", "step": "pd", "dying": "pwn",
 	"cut": "pp", "cut-to": "pp", "heal": "pp", "heal-all": "", "delay": "ppdd", "slow": "ppn", "reset": "pp", "stall": "pp", "flap": "ppd", "intrude": "wp", "call-only": "p", "replace": "p", "load": "n", "limit-set": "ww", "limit-unset": "w",
-	"flood": "pwn", "behave": "pw",
+	"flood": "pwn", "behave": "pw", "hold-server": "pd", "release-server": "p",
 }
 
 var holdForms = map[string]string{
 	"one-acts": "", "one-leads": "", "lead-within": "d", "known-within": "d", "lost-calls": "n", "stood-share": "n", "acts": "pdd", "silent": "pdd", "leads-none": "dd", "exits": "p",
 	"limit-rate": "wnddn", "limit-calls": "wn", "use-rate": "wnddn", "limit-cold": "pnddn", "recovers": "ddn",
-	"limit-further": "nn",
+	"limit-further": "nn", "sent-most": "pddn", "carries": "pddn", "stood-within": "ddn",
 }
 
 var process = sync.OnceValue(func() *regexp.Regexp {
@@ -101,6 +102,7 @@
 	s.Int("routers", &p.Routers, 0, 64)
 	s.Int("servers", &p.Servers, 1, 16)
 	s.Int("agents", &p.Agents, 0, 1<<20)
+	s.Int("zones", &p.Zones, 0, 16)
 	s.Int("redials", &p.Redials, 0, 100)
 	s.Int("load", &p.Load, 0, 100_000)
 	s.Span("lease", &p.Lease, 200*time.Millisecond, time.Minute)
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -63,6 +63,7 @@
 	code     int
 	killed   bool // by the drill
 	listen   string
+	talks    string // where a router hears its neighbours
 	dir      string
 	env      []string
 	args     []string
@@ -154,7 +155,7 @@
 		u.cpu[fmt.Sprint(id, " ", p.cmd.Process.Pid)] = time.Duration(user+system) * 10 * time.Millisecond
 	}
 	for key, w := range s.wires {
-		if key[1][0] == 'k' {
+		if key[1][0] == 'k' || key[0][0] == 'r' && key[1][0] == 'r' {
 			for _, one := range []*way{w.out, w.in} {
 				one.set(func(w *way) { u.bytes += w.bytes })
 			}
@@ -305,6 +306,9 @@
 		id := fmt.Sprintf("r%d", i+1)
 		s.order = append(s.order, id)
 		s.procs[id] = &proc{id: id, name: id, listen: port(), dir: filepath.Join(s.opt.Dir, id)}
+		if s.plan.Zones > 0 {
+			s.procs[id].talks = port()
+		}
 	}
 	founded, err := fleet.Found(terms, rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
@@ -365,8 +369,25 @@
 		}
 		fmt.Fprintf(&b, "    (keeper %q (address %q))\n", id, addr)
 	}
+	if p.talks != "" {
+		fmt.Fprintf(&b, "    (listen %q) (zone \"z%d\")\n", p.talks, count(p.name[1:])%s.plan.Zones)
+		for i := range s.plan.Routers {
+			to := s.procs[fmt.Sprintf("r%d", i+1)]
+			if to.name == p.name {
+				continue
+			}
+			w, err := s.wire(p.id, to.id, func() string { return to.talks })
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(&b, "    (reach %q (address %q))\n", to.name, w.addr())
+		}
+	}
 	fmt.Fprintf(&b, ")\n%s", s.plan.More)
 	if !keeper {
+		if p.talks != "" {
+			b.WriteString("  (verdicts)\n")
+		}
 		b.WriteString(strings.ReplaceAll(s.plan.Own, "$DIR", p.dir))
 		fmt.Fprintf(&b, "  (trace (directory %q) (file-mb 8) (total-mb 64))\n", filepath.Join(p.dir, "trace"))
 	}
@@ -504,7 +525,7 @@
 func (s *stage) call(ctx context.Context) {
 	var turn atomic.Uint64
 	// A router takes 400 set-ups a second from one connection: who redials wants more of them.
-	s.load = standin.StartLoad(ctx, standin.LoadConfig{Connections: (2 + min(s.plan.Redials, 6)) * s.plan.Routers, Seed: uint64(s.plan.Seed), Rate: float64(s.plan.Load), Classes: []string{"voice", "data"}, Redials: s.plan.Redials, RedialIn: time.Second,
+	s.load = standin.StartLoad(ctx, standin.LoadConfig{Connections: (2 + min(s.plan.Redials, 6)) * s.plan.Routers, Seed: uint64(s.plan.Seed), Rate: float64(s.plan.Load), Classes: []string{"voice", "data"}, Redials: s.plan.Redials, RedialIn: time.Second, Firsts: true,
 		Numbers: s.plan.Numbers, Servers: s.plan.Servers,
 		Target: func() string {
 			s.mu.Lock()
@@ -674,13 +695,14 @@
 		err = s.flood(h.Who, f.Args[1], count(f.Args[2]))
 	case "behave":
 		err = s.behave(h.Who, f.Args[1])
-	case "limit-set", "limit-unset":
-		args := append([]string{"fleet", "limits", strings.TrimPrefix(f.What, "limit-")}, f.Args...)
-		cmd := exec.Command(s.opt.Program, append(args, "--why", "drill", "--settings", filepath.Join(s.procs["k1"].dir, "settings.edn"))...)
-		cmd.Env = append(os.Environ(), s.opt.Env...)
-		if out, bad := cmd.CombinedOutput(); bad != nil {
-			err = fmt.Errorf("%w: %s", bad, out)
+	case "hold-server", "release-server":
+		args := []string{"fleet", "verdicts", "release", f.Args[0]}
+		if f.What == "hold-server" {
+			args = []string{"fleet", "verdicts", "hold", f.Args[0], "--for", f.Args[1]}
 		}
+		err = s.command(append(args, "--why", "drill"))
+	case "limit-set", "limit-unset":
+		err = s.command(append([]string{"fleet", "limits", strings.TrimPrefix(f.What, "limit-")}, append(slices.Clone(f.Args), "--why", "drill")...))
 	case "call-only":
 		s.only = h.Who
 		s.between([]string{"c0"}, s.order, func(w *wire, _, _ *way) { w.reset() })
@@ -729,12 +751,22 @@
 	s.happen = append(s.happen, h)
 }
 
+// command is an operator's, by this program.
+func (s *stage) command(args []string) error {
+	cmd := exec.Command(s.opt.Program, append(args, "--settings", filepath.Join(s.procs["k1"].dir, "settings.edn"))...)
+	cmd.Env = append(os.Environ(), s.opt.Env...)
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	return nil
+}
+
 // twin starts a second process of the same name, with a folder and links of its own.
 func (s *stage) twin(p *proc) error {
 	id := p.id + "+"
 	other := s.procs[id]
 	if other == nil {
-		other = &proc{id: id, name: p.name, listen: port(), dir: filepath.Join(s.opt.Dir, p.id+"-twin")}
+		other = &proc{id: id, name: p.name, listen: port(), talks: p.talks, dir: filepath.Join(s.opt.Dir, p.id+"-twin")}
 		s.procs[id] = other
 		if err := s.settings(other); err != nil {
 			return err
--- a/internal/fleetio/fleet.go
+++ b/internal/fleetio/fleet.go
@@ -24,6 +24,7 @@
 	"threadglade.example/threadglade/fleet/fleetpb"
 	"threadglade.example/threadglade/internal/durable"
 	"threadglade.example/threadglade/quota"
+	"threadglade.example/threadglade/verdict"
 )
 
 // notesMost notes wait for the loop; what does not fit is counted and told again by nobody, for the state is there to be looked at.
@@ -42,7 +43,11 @@
 	Parts func(parts []quota.Part, hold time.Duration, alone float64)
 	// Further has the decisions told, on the loop, of further attempts that they are lent; nil: nobody.
 	Further func(lend func(left int) (lent int, limited bool))
-	Limits  []quota.Limit // of the settings; nil: this process divides and holds none
+	// Care hears, on the loop, of a server that is to be left alone for what all routers know, and for how long from now; 0: no more. Now is the clock that the times of
+	// Sent, Answered and AttemptEnded are on.
+	Care   func(c verdict.Care, hold time.Duration)
+	Now    func() time.Duration
+	Limits []quota.Limit // of the settings; nil: this process divides and holds none
 }
 
 // Fleet is a process's part of its fleet.
@@ -76,6 +81,7 @@
 	notes  *xsync.SPSCQueue[fleet.Note]
 	shares *xsync.SPSCQueue[shares]
 	gate   *gate // nil: no limits
+	talk   *talk // nil: no verdicts
 
 	// Of the loop.
 	beacon  *net.UDPConn
@@ -123,6 +129,9 @@
 			f.member.Rode = f.rode
 		}
 	}
+	if cfg.Verdicts != nil && f.member != nil {
+		f.openTalk(now)
+	}
 	if cfg.Beacon.IsValid() {
 		var err error
 		if f.beacon, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(cfg.Beacon)); err == nil {
@@ -132,7 +141,7 @@
 			return nil, fmt.Errorf("fleet: beacon: %w", err)
 		}
 	}
-	if f.keeper != nil {
+	if f.keeper != nil || f.talk != nil && cfg.Listen != "" {
 		listen := cfg.Listen
 		if listen == "" {
 			listen = cfg.Addresses[cfg.Name]
@@ -140,16 +149,24 @@
 		if err := f.listen(listen); err != nil {
 			return nil, err
 		}
+	}
+	if f.member != nil {
+		f.member.Zone = cfg.Zone
+		if f.member.Address = cfg.Address; cfg.Address == "" {
+			f.member.Address = f.address
+		}
+	}
+	if f.keeper != nil {
 		cfg.Log.Info().Str("event", "fleet_keeping").Str("address", f.address).Msgf("fleet %s: keeper %s on %s, log at %d", cfg.Terms.Fleet, cfg.Name, f.address, f.keeper.Machine.Index)
 	}
 	for _, name := range cfg.Terms.Keepers {
 		if f.keeper != nil && name != cfg.Name {
 			f.done.Add(1)
-			go f.follow(name, cfg.Addresses[name], true)
+			go f.follow(f.ctx, name, cfg.Addresses[name], rafts)
 		}
 		if f.member != nil {
 			f.done.Add(1)
-			go f.follow(name, cfg.Addresses[name], false)
+			go f.follow(f.ctx, name, cfg.Addresses[name], asks)
 		}
 	}
 	go f.run()
@@ -206,6 +223,9 @@
 		if f.keeper == nil { // a router alone wakes only for what is due
 			wait = min(max(f.member.Due()-Clock(), time.Millisecond), time.Second)
 		}
+		if f.talk != nil {
+			wait = min(wait, max(f.talk.table.Due()-Clock(), time.Millisecond))
+		}
 		tick.Reset(wait)
 		select {
 		case <-f.stop:
@@ -232,6 +252,9 @@
 		if f.member != nil {
 			f.member.Tick(now)
 		}
+		if f.talk != nil {
+			f.converse(now)
+		}
 		f.drive()
 	}
 }
@@ -240,6 +263,8 @@
 func (f *Fleet) take(now time.Duration, e event) {
 	l := e.link
 	switch {
+	case l.talks:
+		f.talked(now, e)
 	case e.out && l.peer && e.frame == nil:
 		if number := f.voters[l.name]; e.gone {
 			if f.peers[number] == l {
@@ -258,6 +283,12 @@
 	case e.out && !l.peer:
 		f.member.Hear(now, l.name, e.frame)
 	case e.out: // another keeper says nothing on a link that it did not dial
+	case f.keeper == nil && (e.gone || e.frame == nil):
+	case f.keeper == nil && e.frame.GetInquiry() != nil:
+		f.send(l, &fleetpb.Frame{What: &fleetpb.Frame_Report{Report: f.report(now, &fleetpb.Report{Seq: e.frame.GetInquiry().Seq, Name: f.cfg.Name})}})
+	case f.keeper == nil:
+		f.refused(fmt.Sprintf("%s: this process keeps nothing", l.name))
+		l.cut()
 	case e.gone:
 		f.keeper.Gone(l.id)
 	case e.frame == nil:
@@ -272,15 +303,22 @@
 	case !l.peer && l.name != "" && e.frame.GetAsk() != nil:
 		f.keeper.Ask(now, l.id, l.name, e.frame.GetAsk())
 	case e.frame.GetInquiry() != nil:
-		r := f.keeper.Report(e.frame.GetInquiry().Seq)
-		r.Sent, r.Received, r.Refused, r.Dropped = f.count.Sent.Load(), f.count.Received.Load(), f.count.Refused.Load(), f.count.Dropped.Load()
-		f.send(l, &fleetpb.Frame{What: &fleetpb.Frame_Report{Report: r}})
+		f.send(l, &fleetpb.Frame{What: &fleetpb.Frame_Report{Report: f.report(now, f.keeper.Report(e.frame.GetInquiry().Seq))}})
 	default:
 		f.refused(fmt.Sprintf("%s: a frame that is not its to send", l.name))
 		l.cut()
 	}
 }
 
+// report completes what an operator is told.
+func (f *Fleet) report(now time.Duration, r *fleetpb.Report) *fleetpb.Report {
+	r.Sent, r.Received, r.Refused, r.Dropped = f.count.Sent.Load(), f.count.Received.Load(), f.count.Refused.Load(), f.count.Dropped.Load()
+	if f.talk != nil {
+		r.Talk = f.talk.report(now)
+	}
+	return r
+}
+
 // drive has done what the pure parts want, until they want nothing more.
 func (f *Fleet) drive() {
 	for f.keeper != nil {
@@ -340,6 +378,9 @@
 			f.gate.limits.Store(&list)
 			f.gate.changed.Store(true)
 		}
+		if f.talk != nil {
+			f.noted(n)
+		}
 		if f.member != nil && !f.notes.TryEnqueue(n) {
 			f.count.Missed.Add(1)
 		}
@@ -395,13 +436,16 @@
 			f.cfg.Facts(n)
 		}
 	}
-	if f.gate == nil && f.beacon == nil { // nothing that needs a look at the clock
+	if f.gate == nil && f.beacon == nil && f.talk == nil { // nothing that needs a look at the clock
 		return time.Hour
 	}
 	wait, now := time.Hour, Clock()
 	if f.gate != nil {
 		wait = f.turn(now)
 	}
+	if f.talk != nil {
+		wait = min(wait, f.heed(now))
+	}
 	if f.beacon == nil {
 		return wait
 	}
@@ -457,6 +501,9 @@
 	if f.gate != nil {
 		more = fmt.Sprintf(" Limits:%+v", f.gate.Count)
 	}
+	if f.talk != nil {
+		more += fmt.Sprintf(" Verdicts:%+v", f.talk.watch.Count)
+	}
 	return fmt.Sprintf("{Incarnation:%d Sent:%d Received:%d Raft:%d Refused:%d Dropped:%d Missed:%d Links:%d%s}", l.Incarnation, c.Sent.Load(), c.Received.Load(), c.Raft.Load(),
 		c.Refused.Load(), c.Dropped.Load(), c.Missed.Load(), f.links.Size(), more)
 }
--- a/internal/fleetio/links.go
+++ b/internal/fleetio/links.go
@@ -39,6 +39,7 @@
 	id    fleet.Link
 	name  string
 	peer  bool // a keeper
+	talks bool // between neighbours
 	queue chan *fleetpb.Frame
 	cut   context.CancelFunc
 }
@@ -184,7 +185,7 @@
 	}
 	ctx, cut := context.WithCancel(s.Context())
 	defer cut()
-	l := &link{id: f.number(), name: hello.Name, peer: hello.Voter != 0, queue: make(chan *fleetpb.Frame, queueMost), cut: cut}
+	l := &link{id: f.number(), name: hello.Name, peer: hello.Voter != 0 && !hello.Talks, talks: hello.Talks && hello.Name != "", queue: make(chan *fleetpb.Frame, queueMost), cut: cut}
 	err := f.pump(ctx, s, l, false)
 	if s, bad := status.FromError(err); bad && s != nil {
 		switch s.Code() {
@@ -240,8 +241,17 @@
 	return s, frame.GetHello(), err
 }
 
-// follow keeps a link to a keeper open; as a keeper's own it carries raft's messages, as a router's its asks.
-func (f *Fleet) follow(name, addr string, peer bool) {
+// What a link that this process has dialled carries.
+type carries int
+
+const (
+	asks  carries = iota // a router's, to a keeper
+	rafts                // a keeper's, to another
+	talks                // a router's, to a neighbour
+)
+
+// follow keeps a link open until the context ends.
+func (f *Fleet) follow(until context.Context, name, addr string, what carries) {
 	defer f.done.Done()
 	conn, err := Dial(addr)
 	if err != nil {
@@ -251,13 +261,14 @@
 	defer conn.Close()
 	pause := dialAgain
 	told := ""
-	for f.ctx.Err() == nil {
-		ctx, cut := context.WithCancel(f.ctx)
+	for until.Err() == nil {
+		ctx, cut := context.WithCancel(until)
 		hurry := time.AfterFunc(helloWithin, cut)
 		hello := f.hello()
-		if !peer {
+		if what != rafts {
 			hello.GetHello().Voter = 0
 		}
+		hello.GetHello().Talks = what == talks
 		s, other, err := open(ctx, conn, hello)
 		in := hurry.Stop()
 		if err == nil && in {
@@ -269,14 +280,14 @@
 		}
 		if err == nil && in {
 			pause, told = dialAgain, ""
-			f.pump(ctx, s, &link{id: f.number(), name: name, peer: peer, queue: make(chan *fleetpb.Frame, queueMost), cut: cut}, true)
+			f.pump(ctx, s, &link{id: f.number(), name: name, peer: what == rafts, talks: what == talks, queue: make(chan *fleetpb.Frame, queueMost), cut: cut}, true)
 		} else if code := status.Code(err); (code == codes.PermissionDenied || code == codes.Unknown) && err != nil && told != err.Error() {
 			told = err.Error()
-			f.cfg.Log.Warn().Str("event", "fleet_refused_by").Str("keeper", name).Msgf("fleet: keeper %s: %v", name, err)
+			f.cfg.Log.Warn().Str("event", "fleet_refused_by").Str("keeper", name).Msgf("fleet: %s: %v", name, err)
 		}
 		cut()
 		select {
-		case <-f.ctx.Done():
+		case <-until.Done():
 		case <-time.After(pause/2 + rand.N(pause)):
 		}
 		pause = min(pause*3/2, dialLatest)
--- a/internal/fleetio/settings.go
+++ b/internal/fleetio/settings.go
@@ -8,6 +8,7 @@
 
 	"threadglade.example/threadglade/fleet"
 	"threadglade.example/threadglade/internal/settings"
+	"threadglade.example/threadglade/verdict"
 )
 
 // Options are what the settings say of the fleet.
@@ -15,7 +16,11 @@
 	Terms     fleet.Terms
 	Dir       string            // a keeper's folder
 	Addresses map[string]string // of keepers
-	Listen    string            // where this keeper listens, if not at its own address
+	Listen    string            // where this process listens: a keeper, if not at its own address; a router, for its neighbours
+	Address   string            // where other routers reach this one, if not where it listens
+	Zone      string            // of this process
+	Reach     map[string]string // routers that this process reaches elsewhere than at their addresses
+	Verdicts  *verdict.Terms    // nil: routers judge alone
 	Beacon    netip.AddrPort    // who hears what this process acts as; the zero value: nobody
 	Every     time.Duration     // how often
 	Roll      int64             // size in bytes at which a keeper begins a new file
@@ -26,11 +31,16 @@
 
 // Read reads a (fleet ...) section; docs/operators/fleet-floor.md has every field. What is wrong is noted with the section and reported by its Finish.
 func Read(s *settings.Section) Options {
-	o := Options{Terms: fleet.DefaultTerms(), Addresses: map[string]string{}, Every: time.Second, Roll: 4 << 20}
+	o := Options{Terms: fleet.DefaultTerms(), Addresses: map[string]string{}, Reach: map[string]string{}, Every: time.Second, Roll: 4 << 20}
 	t := &o.Terms
 	s.String("name", &t.Fleet)
 	s.String("directory", &o.Dir)
 	s.String("listen", &o.Listen)
+	s.String("address", &o.Address)
+	s.String("zone", &o.Zone)
+	if len(o.Zone) > 64 {
+		s.Errorf("zone", "a zone has up to 64 bytes")
+	}
 	s.Span("lease", &t.Lease, 200*time.Millisecond, time.Minute)
 	s.Span("renew", &t.Renew, 50*time.Millisecond, 30*time.Second)
 	percent := int(t.Drift*100 + 0.5)
@@ -50,6 +60,18 @@
 	if o.Listen != "" {
 		address("listen", o.Listen)
 	}
+	if o.Address != "" {
+		address("address", o.Address)
+	}
+	s.Each("reach", func(r *settings.Section) {
+		name, at := r.Label(), ""
+		if !r.String("address", &at) {
+			r.Errorf("address", "is missing")
+			return
+		}
+		address("reach", at)
+		o.Reach[name] = at
+	})
 	var beacon string
 	if s.String("beacon", &beacon) {
 		o.Beacon = address("beacon", beacon)
@@ -71,6 +93,25 @@
 	return o
 }
 
+// ReadVerdicts reads a (verdicts ...) section; docs/operators/verdict.md has every field.
+func ReadVerdicts(s *settings.Section, drift float64) *verdict.Terms {
+	t := verdict.DefaultTerms()
+	t.Drift = drift
+	s.Int("quorum", &t.Quorum, 2, 100)
+	percent := int(t.Share*100 + 0.5)
+	s.Int("share-percent", &percent, 1, 100)
+	t.Share = float64(percent) / 100
+	s.Span("silence", &t.Silence, 10*time.Millisecond, 10*time.Second)
+	s.Span("late", &t.Late, 10*time.Millisecond, time.Minute)
+	s.Span("hold", &t.Hold, time.Second, 10*time.Minute)
+	s.Span("trial", &t.Trial, 10*time.Millisecond, time.Minute)
+	s.Span("return", &t.Return, 0, time.Minute)
+	if err := t.Validate(); err != nil {
+		s.Errorf("", "%v", err)
+	}
+	return &t
+}
+
 // Describe prints the section as it is in force.
 func (o *Options) Describe(w io.Writer) {
 	t := o.Terms
@@ -81,6 +122,12 @@
 	if o.Listen != "" {
 		fmt.Fprintf(w, " (listen %q)", o.Listen)
 	}
+	if o.Zone != "" {
+		fmt.Fprintf(w, " (zone %q)", o.Zone)
+	}
+	if o.Address != "" {
+		fmt.Fprintf(w, " (address %q)", o.Address)
+	}
 	if o.Beacon.IsValid() {
 		fmt.Fprintf(w, " (beacon %q) (beacon-every %q)", o.Beacon, o.Every)
 	}
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -42,6 +42,7 @@
 	Drift       float64       // clocks run within this of true time
 	Islands     float64       // the leading keeper and a member are cut off together, and the keeper is stopped again and again
 	Puts        float64       // facts asked for, a second
+	Calls       *Calls        // nil: none
 	Limits      []quota.Limit // on classes of their own names
 	Steady      bool          // demand stays as first drawn
 	Swing       int           // how often demand goes elsewhere, in 1,000 looks; 0: 10
@@ -81,6 +82,7 @@
 	Lasting  int             // members that act at the end
 	Trouble  []string
 	Limited  map[string]*Limited
+	Called   Called
 	Held     []Holding
 	Demands  map[string]float64 // of routers, at the end
 	Heard    map[string]uint64  // versions by value, as any member heard of them
@@ -106,6 +108,7 @@
 }
 
 type process struct {
+	desk    *desk // its calls; nil: none
 	gate    *quota.Gate
 	demand  float64
 	further int // attempts that its decisions have been lent
@@ -173,6 +176,8 @@
 	lastActs map[uint64]time.Duration // by incarnation
 	entries  map[uint64][]byte        // what was applied at an index, by whoever came first
 	applied  map[*process]uint64
+	sites    []*site
+	told     map[string]told
 	linked   fleet.Link
 	values   uint64
 }
@@ -180,7 +185,7 @@
 // Run runs a world to its end, or to the first promise that does not hold.
 func Run(cfg Config) *Result {
 	w := &world{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 77)), byVoter: map[uint64]*process{}, links: map[fleet.Link]*link{}, cut: map[[2]*process]bool{}, sum: fnv.New64a(),
-		acting: map[string]uint64{}, actAt: map[string]time.Duration{}, owner: map[uint64]*process{}, lastActs: map[uint64]time.Duration{}, entries: map[uint64][]byte{}, applied: map[*process]uint64{}}
+		acting: map[string]uint64{}, actAt: map[string]time.Duration{}, owner: map[uint64]*process{}, lastActs: map[uint64]time.Duration{}, entries: map[uint64][]byte{}, applied: map[*process]uint64{}, told: map[string]told{}}
 	w.res.Slack, w.res.Heard, w.res.Limited = time.Hour, map[string]uint64{}, map[string]*Limited{}
 	w.res.Demands = map[string]float64{}
 	for _, l := range cfg.Limits {
@@ -212,9 +217,17 @@
 		w.byVoter[p.number] = p
 		w.start(p)
 	}
+	if cfg.Calls != nil {
+		w.openSites()
+	}
 	for i := range cfg.Members {
 		w.join(fmt.Sprintf("m%d", i))
 	}
+	if cfg.Calls != nil {
+		for i, p := range w.routers() {
+			w.openCalls(p, i)
+		}
+	}
 	w.troubles()
 	for w.res.Broken == "" && len(w.queue) > 0 && w.queue[0].at <= cfg.For {
 		e := heap.Pop(&w.queue).(event)
@@ -285,6 +298,9 @@
 				if grants, ok := quota.ReadGrants(ride); ok && p.gate.Take(p.clock(w.now), seq, until, grants) {
 					p.member.Hurry(0)
 				}
+				if p.desk != nil {
+					p.desk.parts()
+				}
 			}
 		}
 		for _, k := range w.keepers {
@@ -299,7 +315,14 @@
 		} else {
 			p.member.Tick(now)
 			w.act(p)
-			w.call(p)
+			if p.desk != nil {
+				p.desk.look()
+				if p.gate != nil && p.gate.Wanting(now) {
+					p.member.Hurry(250 * time.Millisecond)
+				}
+			} else {
+				w.call(p)
+			}
 		}
 		w.drive(p)
 		w.after(fleet.TickEvery, p, tick)
--- a/internal/fleetsim/troubles.go
+++ b/internal/fleetsim/troubles.go
@@ -85,6 +85,7 @@
 		w.trouble("kill %s", p.name)
 		p.up, p.paused, p.waiting = false, false, nil
 		w.unlink(p)
+		w.goneRouter(p)
 		if w.cfg.Wipes && p.number != 0 && w.random.IntN(2) == 0 && w.whole() == len(w.keepers) {
 			p.gone, p.stored = true, fleet.Stored{} // its files are lost: by them alone it could have come back
 			if _, err := fleet.NewKeeper(w.cfg.Terms, p.stored, w.random, 0); err == nil {
@@ -100,6 +101,7 @@
 			w.trouble("kill %s", p.name)
 			p.up = false
 			w.unlink(p)
+			w.goneRouter(p)
 			w.after(10*time.Second, nil, func() { w.again(p) })
 		}
 	})
@@ -169,6 +171,9 @@
 		return
 	}
 	w.start(p)
+	if p.desk != nil {
+		w.openCalls(p, p.desk.index)
+	}
 	if p.keeper != nil {
 		for _, m := range w.members {
 			w.link(m, p)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,9 @@
 	if c.Product.Limits != nil {
 		n.openLimits(&rc)
 	}
+	if c.Product.Fleet != nil && c.Product.Fleet.Verdicts != nil {
+		rc.Observer = observe(rc.Observer, watcher{n})
+	}
 	if n.Router, err = router.New(rc); err != nil {
 		return nil, err
 	}
@@ -232,6 +235,9 @@
 	if n.fleet != nil && n.fleet.Limited() {
 		n.cold(servers)
 	}
+	if n.fleet != nil && n.fleet.Watches() {
+		n.watched(servers)
+	}
 	n.trunk.List(servers)
 }
 
--- a/internal/node/product.go
+++ b/internal/node/product.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"reflect"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -24,6 +25,7 @@
 	"threadglade.example/threadglade/quota"
 	"threadglade.example/threadglade/router"
 	"threadglade.example/threadglade/trace"
+	"threadglade.example/threadglade/verdict"
 )
 
 // ledgerEvery is how often the ledger looks whether a period is over.
@@ -88,6 +90,13 @@
 		}
 		p.Limits = append([]quota.Limit{}, fleetio.ReadLimits(sub)...)
 	}
+	if sub := s.Sub("verdicts"); sub != nil {
+		if p.Fleet == nil {
+			sub.Errorf("", "verdicts of a fleet want a (fleet ...) section")
+		} else {
+			p.Fleet.Verdicts = fleetio.ReadVerdicts(sub, p.Fleet.Terms.Drift)
+		}
+	}
 	return p, s.Finish()
 }
 
@@ -150,10 +159,13 @@
 		signal.Ignore(syscall.SIGXFSZ) // a limit on files is an error of the write, which stops the vote and not the process
 	}
 	n.fleet, err = fleetio.Open(fleetio.Config{Options: *n.config.Product.Fleet, FS: n.files(), Name: n.config.Name, Member: true, Wake: n.Loop.Nudge, Log: n.log,
-		Limits: n.config.Product.Limits, Parts: n.parts, Further: n.further})
+		Limits: n.config.Product.Limits, Parts: n.parts, Further: n.further, Care: n.care, Now: n.clock})
 	if err == nil && n.fleet.Limited() {
 		n.cold(n.config.Servers)
 	}
+	if err == nil && n.fleet.Watches() {
+		n.watched(n.config.Servers)
+	}
 	return err
 }
 
@@ -185,6 +197,55 @@
 	n.fleet.Cold(list)
 }
 
+// care has the decisions leave a server alone for what all routers know of it.
+func (n *Node) care(c verdict.Care, hold time.Duration) {
+	word := router.Word{Found: "fit"}
+	if v := c.Verdict; v != nil {
+		word = router.Word{Found: v.Kind.String(), Sources: strings.Join(v.Sources, " "), Age: v.Age, Bad: v.Bad, Others: v.Others}
+		if v.Kind == verdict.Held {
+			word.Sources = v.Why
+		}
+	}
+	n.Router.Care(threadglade.Care{Server: c.Server, Started: c.Started, Until: n.clock() + hold}, word)
+}
+
+// watched tells the fleet which case servers are up, and what they may take.
+func (n *Node) watched(servers []sip.Server) {
+	var list []verdict.Server
+	for _, s := range servers {
+		if s.State != threadglade.Up {
+			continue
+		}
+		one := verdict.Server{Key: verdict.Key{Server: s.ID, Started: s.Started}}
+		for _, class := range n.config.Settings.Classes {
+			if slices.Contains(class.Servers, s.Number) {
+				one.Classes = append(one.Classes, class.Name)
+			}
+		}
+		list = append(list, one)
+	}
+	n.fleet.Listed(list)
+}
+
+// watcher has the fleet see what becomes of attempts.
+type watcher struct{ n *Node }
+
+// Observe implements router.Observer.
+func (w watcher) Observe(e router.Event) {
+	f := w.n.fleet
+	if f == nil { // not open yet
+		return
+	}
+	switch e.Kind {
+	case router.Sent:
+		f.Sent(e.At, e.Slot, e.Server)
+	case router.Stood:
+		f.Answered(e.At, e.Slot)
+	case router.AttemptEnded:
+		f.AttemptEnded(e.At, e.Slot, verdict.EndOf(e.Outcome, e.Cause))
+	}
+}
+
 // limiter stands before the decisions where the fleet has limits: it asks the router's own shares, and hears when calls are over.
 type limiter struct {
 	n    *Node
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -34,6 +34,7 @@
 	// Redials is how often a caller who is refused calls again, marked as a repeat, each time within RedialIn.
 	Redials  int
 	RedialIn time.Duration
+	Firsts   bool // keep each first try
 }
 
 // Try is a caller's first try: when, and whether the call stood.
@@ -97,7 +98,7 @@
 // SetRate changes how many set-ups a second come from now on.
 func (l *Load) SetRate(rate float64) { l.rate.Store(math.Float64bits(rate)) }
 
-// Firsts returns all first tries, where callers redial.
+// Firsts returns all first tries, where callers redial or they are to be kept.
 func (l *Load) Firsts() (list []Try) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -240,9 +241,9 @@
 	id := fmt.Sprintf("%016x", l.prefix+l.next)
 	if l.cfg.Redials > 0 {
 		l.tries[id] = redials
-		if redials == 0 {
-			l.firsts[id] = &Try{At: time.Now()}
-		}
+	}
+	if redials == 0 && (l.cfg.Redials > 0 || l.cfg.Firsts) {
+		l.firsts[id] = &Try{At: time.Now()}
 	}
 	l.mu.Unlock()
 	c.mu.Lock()
--- a/internal/traceio/recorder.go
+++ b/internal/traceio/recorder.go
@@ -210,6 +210,9 @@
 	}
 	if s.kind != trace.Request {
 		r.S[trace.Server] = s.server
+		if s.kind == trace.Care {
+			r.S[trace.Front] = s.front
+		}
 		return r
 	}
 	r.S[trace.Number], r.S[trace.Identity], r.S[trace.Front] = s.server, s.identity, s.front
@@ -394,6 +397,15 @@
 		s.latency, s.rate, s.loadAt = e.Latency, e.Rate, e.At
 		r.report(&e, s)
 		return
+	case router.Cared:
+		rec := r.next(trace.Care, e.At)
+		rec.server, rec.front = e.Server, strings.TrimSpace(e.Class+" "+e.Front)
+		rec.set(trace.TookUs, e.Latency.Microseconds())
+		rec.set(trace.DeadlineMs, e.RetryAfter.Milliseconds())
+		rec.set(trace.Count, int64(e.Free))
+		rec.set(trace.Total, int64(e.Total))
+		r.put(rec)
+		return
 	case router.OrphanRelease, router.StrayRelease:
 		rec := r.next(trace.Stray, e.At)
 		rec.call = e.Call
--- a/reason.go
+++ b/reason.go
@@ -7,7 +7,7 @@
 
 var reasonNames = [...]string{"", "first choice", "remembered", "drawn", "gapped", "resting", "on trial", "hopeless", "budget spent",
 	"not up", "not skilled", "no server", "unknown class", "out of time", "number busy", "crowded out", "returned", "own fault",
-	"no further attempt", "overtaken", "unbillable", "over limit", "shared verdict"}
+	"no further attempt", "overtaken", "unbillable", "over limit", "shared verdict", "spared"}
 
 func (r Reason) String() string {
 	if r < 0 || int(r) >= len(reasonNames) {
@@ -18,9 +18,13 @@
 
 // chosen is why a server is sent the call.
 func (c *Controller) chosen(k *call, s *server) Reason {
+	first := c.numbered(k.Destination)
 	switch drawn := c.drawn; {
-	case c.numbered(k.Destination) == s:
+	case first == s:
 		return FirstChoice
+	case first != nil && first != k.at && c.now < first.cared && c.now >= first.barred:
+		c.drawn = false
+		return Spared
 	case drawn && s == c.remembered:
 		c.drawn = false
 		return Drawn
--- a/router/observer.go
+++ b/router/observer.go
@@ -40,6 +40,7 @@
 	Held                          // a request waits, for Reason; Server is its first choice
 	Withdrawn                     // the attempt at Server is given up, for Reason; AttemptEnded follows
 	Loaded                        // Server reports its wait and how much it can take
+	Cared                         // Server is left alone for what all routers know of it
 )
 
 // Event is one thing that happened. Fields that Kind does not need are zero.
@@ -71,7 +72,8 @@
 	Reason threadglade.Reason
 	View   threadglade.View
 
-	// Of Loaded.
+	// Of Loaded; of Cared the age of what is known, with Class what the server is found to be, Front whose word it is, RetryAfter for how long from At, and Free of Total routers that miss
+	// its answers.
 	Latency time.Duration // wait at the server's processor
 	Rate    float64       // set-ups a second that it can take from all senders
 }
--- a/router/router.go
+++ b/router/router.go
@@ -435,8 +435,22 @@
 	})
 }
 
+// Word is what a Care rests on: what the server is found to be, by whose evidence, how old that is, and how many routers of how many miss its answers.
+type Word struct {
+	Found, Sources string
+	Age            time.Duration
+	Bad, Others    int
+}
+
 // Care takes until when a server is to be left alone for what all routers know of it.
-func (r *Router) Care(e threadglade.Care) { r.do(nil, func([]byte) { r.tell(e) }) }
+func (r *Router) Care(e threadglade.Care, w Word) {
+	r.do(nil, func([]byte) {
+		r.tell(e)
+		if r.cfg.Observer != nil {
+			r.tellObserver(Event{Kind: Cared, Server: e.Server, Class: w.Found, Front: w.Sources, Latency: w.Age, RetryAfter: max(e.Until-r.cfg.Clock(), 0), Free: w.Bad, Total: w.Others})
+		}
+	})
+}
 
 // Agents takes a server's free agents.
 func (r *Router) Agents(a threadglade.Agents) {
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +22,7 @@
 	threadglade.CrowdedOut: "too many calls waited that are worth more", threadglade.Returned: "the server had turned it away",
 	threadglade.OwnFault: "servers had found fault with it", threadglade.NoFurther: "no further attempt was allowed or would have come in time",
 	threadglade.Overtaken: "a later set-up was answered first, so this one was lost", threadglade.Unbillable: "it could not have been billed",
+	threadglade.Spared:        "the routers together had found its first choice unfit, and this one was sent it in its place",
 	threadglade.SharedVerdict: "the routers together had found its first choice unfit, while this one had not",
 	threadglade.OverLimit:     "a limit of the whole fleet was reached: the share that this router had of it was used up",
 }
@@ -57,13 +60,29 @@
 	return " (" + r.S[Server] + ": " + strings.Join(parts, ", ") + ")"
 }
 
-// Story tells what became of one call in sentences, from its records in order.
+// Story tells what became of one call in sentences, from its records in order, with those of care before and among them.
 func Story(list []Record) []string {
-	if len(list) == 0 {
+	first := slices.IndexFunc(list, func(r Record) bool { return r.Kind != Care })
+	if first < 0 {
 		return nil
 	}
 	var out []string
-	began := list[0].At
+	began := list[first].At
+	cares := map[string]*Record{} // by server, in force
+	judged := func(r *Record) string {
+		switch threadglade.Reason(r.N[Reason]) {
+		case threadglade.SharedVerdict, threadglade.Spared:
+		default:
+			return ""
+		}
+		text := ""
+		for _, server := range slices.Sorted(maps.Keys(cares)) {
+			if c := cares[server]; c.At+c.N[DeadlineMs]*1000 >= r.At {
+				text += fmt.Sprintf("; %s is %s (%d routers of %d, %.0f ms old)", server, c.S[Front], c.N[Count], c.N[Total], float64(c.N[TookUs]+r.At-c.At)/1000)
+			}
+		}
+		return text
+	}
 	say := func(r *Record, format string, args ...any) {
 		at := "       0 ms"
 		if r.At != began {
@@ -74,6 +93,10 @@
 	for i := range list {
 		r := &list[i]
 		switch r.Kind {
+		case Care:
+			if cares[r.S[Server]] = r; r.N[DeadlineMs] <= 0 {
+				delete(cares, r.S[Server])
+			}
 		case Request:
 			extra := ""
 			if r.N[Retry] != 0 {
@@ -87,15 +110,15 @@
 		case Decision:
 			switch Action(r.N[Act]) {
 			case Sent:
-				say(r, "Attempt %d went to %s: %s%s.", r.N[Attempt]+1, r.S[Server], because(r.N[Reason]), saw(r))
+				say(r, "Attempt %d went to %s: %s%s%s.", r.N[Attempt]+1, r.S[Server], because(r.N[Reason]), judged(r), saw(r))
 			case Held:
 				at := r.S[Server]
 				if at == "" {
 					at = "its first choice"
 				}
-				say(r, "It waited, for %s did not take it: %s%s.", at, because(r.N[Reason]), saw(r))
+				say(r, "It waited, for %s did not take it: %s%s%s.", at, because(r.N[Reason]), judged(r), saw(r))
 			case Refused:
-				say(r, "It was given up: %s%s.", because(r.N[Reason]), saw(r))
+				say(r, "It was given up: %s%s%s.", because(r.N[Reason]), judged(r), saw(r))
 			case Failed:
 				say(r, "It was given up, and an attempt may have run: %s%s.", because(r.N[Reason]), saw(r))
 			case GivenUp:
--- a/trace/record.go
+++ b/trace/record.go
@@ -30,10 +30,11 @@
 	Reload                     // the configuration was read anew
 	Start                      // the recorder began
 	Gap                        // records were dropped here
+	Care                       // a server is left alone for a while for what all routers know of it, or no more
 	kinds
 )
 
-var kindNames = [kinds]string{"", "request", "decision", "attempt end", "answer", "release", "stray", "list", "listed", "report", "turn", "reload", "start", "gap"}
+var kindNames = [kinds]string{"", "request", "decision", "attempt end", "answer", "release", "stray", "list", "listed", "report", "turn", "reload", "start", "gap", "care"}
 
 func (k Kind) String() string {
 	if k >= kinds {
@@ -205,6 +206,7 @@
 	Reload:     {[]Text{Router}, nil},
 	Start:      {[]Text{Router}, nil},
 	Gap:        {[]Text{Router}, []Figure{Count}},
+	Care:       {[]Text{Server, Front, Router}, []Figure{TookUs, DeadlineMs, Count, Total}}, // Front: what it is found to be, and by whom; TookUs: the age of that; for DeadlineMs; by Count of Total
 }
 
 // Columns are the string and number columns that a kind of record has, in file order; nil for a kind that is none.
--- a/trace/why.go
+++ b/trace/why.go
@@ -54,6 +54,18 @@
 	RequestsDuring int64         `json:"requests_during"`
 	Causes         []Explanation `json:"causes"`
 	Changes        []Change      `json:"changes"`
+	Shared         []Shared      `json:"shared,omitempty"`
+}
+
+// Shared is what all routers together found a server to be in the time asked about.
+type Shared struct {
+	Server  string `json:"server"`
+	Found   string `json:"found"` // and by whom
+	Bad     int64  `json:"bad"`   // routers that missed its answers, at the most
+	Others  int64  `json:"others"`
+	AgeUs   int64  `json:"age_us"`   // the oldest evidence that a router heeded
+	First   int64  `json:"first_us"` // when it was first heeded
+	Choices int64  `json:"choices"`  // decisions that it changed, over all servers then found unfit
 }
 
 // Inquiry collects what is needed of records in order; those of the time before must be among them.
@@ -73,7 +85,9 @@
 	}
 	firstLoss int64
 	firstRise int64
-	arrivals  map[int64]int64 // by half seconds, to find where a burst began
+	shared    map[string]*Shared // by server
+	changed   int64              // decisions
+	arrivals  map[int64]int64    // by half seconds, to find where a burst began
 }
 
 // suspect is a server in both windows.
@@ -116,7 +130,7 @@
 // NewInquiry asks about [from, to).
 func NewInquiry(meta Meta, from, to int64) *Inquiry {
 	w := &Inquiry{meta: meta, from: from, to: to, begin: from - (to - from), servers: map[string]*suspect{}, routers: map[string]*listener{},
-		lists: map[int64]int64{}, open: map[string]*pursued{}, arrivals: map[int64]int64{}}
+		lists: map[int64]int64{}, open: map[string]*pursued{}, arrivals: map[int64]int64{}, shared: map[string]*Shared{}}
 	for i := range w.windows {
 		w.windows[i].lost = map[[2]string]float64{}
 	}
@@ -165,7 +179,20 @@
 		if len(w.open) < openMost {
 			w.open[r.S[Call]] = &pursued{router: r.S[Router]}
 		}
+	case Care:
+		if i == 1 && r.N[DeadlineMs] > 0 {
+			one := w.shared[r.S[Server]]
+			if one == nil {
+				one = &Shared{Server: r.S[Server], First: r.At, Choices: -w.changed}
+				w.shared[r.S[Server]] = one
+			}
+			one.Found, one.Others = r.S[Front], r.N[Total]
+			one.Bad, one.AgeUs = max(one.Bad, r.N[Count]), max(one.AgeUs, r.N[TookUs])
+		}
 	case Decision:
+		if why := threadglade.Reason(r.N[Reason]); i == 1 && (why == threadglade.SharedVerdict || why == threadglade.Spared) {
+			w.changed++
+		}
 		p := w.open[r.S[Call]]
 		if p != nil && r.S[Server] != "" {
 			p.server, p.reason = r.S[Server], r.N[Reason]
@@ -325,6 +352,11 @@
 	a, b := &w.windows[0], &w.windows[1]
 	v := Verdict{From: w.from, To: w.to, RequestsBefore: a.requests, RequestsDuring: b.requests,
 		ServiceBefore: share(a.earned, a.offered), ServiceDuring: share(b.earned, b.offered)}
+	for _, name := range slices.Sorted(maps.Keys(w.shared)) {
+		one := *w.shared[name]
+		one.Choices += w.changed
+		v.Shared = append(v.Shared, one)
+	}
 	total := 0.0
 	for key, lost := range b.lost {
 		if key[0] == ByClass {
