--- a/cmd/threadglade/drill_mutant_test.go
+++ b/cmd/threadglade/drill_mutant_test.go
@@ -24,3 +24,9 @@
 		})
 	}
 }
+
+// TestVerdictLiar has a router among others that tells the opposite of what it sees: its harm is bounded.
+func TestVerdictLiar(t *testing.T) {
+	t.Parallel()
+	require.True(t, runDrill(t, "verdict-liar").OK(), "something that must hold does not")
+}
--- a/cmd/threadglade/drill_test.go
+++ b/cmd/threadglade/drill_test.go
@@ -13,7 +13,9 @@
 // drills that CI runs; the others take minutes and are run by command.
 var drills = []string{"fleet-leader", "fleet-one-way", "fleet-twin", "fleet-slow-answers", "fleet-new-leader", "fleet-old-leader", "fleet-clock", "fleet-all-keepers", "fleet-files",
 	"fleet-disk", "fleet-dying", "fleet-minority", "fleet-intruders",
-	"quota-split", "quota-moves", "quota-calls", "quota-floor", "quota-words", "quota-cold", "quota-storm", "quota-swing", "quota-tenant", "quota-further"}
+	"quota-split", "quota-moves", "quota-calls", "quota-floor", "quota-words", "quota-cold", "quota-storm", "quota-swing", "quota-tenant", "quota-further", "quota-greedy", "quota-small", "quota-many",
+	"verdict-hang", "verdict-zone", "verdict-link", "verdict-slow", "verdict-flap", "verdict-replace", "verdict-stop", "verdict-split", "verdict-keepers", "verdict-half", "verdict-hold", "verdict-links",
+	"verdict-flaps", "verdict-waves", "verdict-intruders"}
 
 // runDrill carries out a drill file with this program.
 func runDrill(t *testing.T, name string, env ...string) *drill.Result {
--- a/cmd/threadglade/fleet_test.go
+++ b/cmd/threadglade/fleet_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"path/filepath"
@@ -74,3 +75,86 @@
 	out, code = tool(t, "fleet", "status", "--settings", path)
 	require.Equal(t, exitFinding, code, out)
 }
+
+// TestVerdictCommands has three routers of two zones judge a case server that hangs, and goes through the commands as an operator does: what is found, by whom, what it changed, and an
+// operator's own word.
+func TestVerdictCommands(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, 3, standin.ServerConfig{Seed: 4, Hold: [2]time.Duration{50 * time.Millisecond, 100 * time.Millisecond}})
+	keeper, dir := port(t), filepath.Join(s.dir, "keepers")
+	section := func(more string) string {
+		return fmt.Sprintf(`(threadglade (fleet (name "f") (directory %q) (lease 1s) (renew 300ms) (keeper "k" (address %q)) (members "n*") %s`, filepath.Join(dir, "k"), keeper, more)
+	}
+	path := s.file("keeper.edn", section("))"))
+	out, code := tool(t, "fleet", "found", "--settings", path, "-o", dir)
+	require.Zero(t, code, out)
+	start(t, nil, "fleet", "keeper", "--settings", path, "--name", "k")
+	var at []string
+	var all []*child
+	for i := range 3 {
+		at = append(at, port(t))
+		name, listen := fmt.Sprint("n", i), port(t)
+		own := s.file(name+".edn", section(fmt.Sprintf(`(listen %q) (zone "z%d")) (verdicts (silence 100ms)) (trace (directory %q) (block 1s)))`, at[i], i%2, filepath.Join(s.dir, name))))
+		c := start(t, s.config(name, listen), "serve", "--settings", own)
+		c.await(t)
+		all = append(all, c)
+		ctx, stop := context.WithCancel(t.Context())
+		load := standin.StartLoad(ctx, standin.LoadConfig{Target: func() string { return listen }, Connections: 2, Seed: uint64(i), Rate: 30, Classes: []string{"voice"}, Servers: 3})
+		t.Cleanup(func() { stop(); load.Wait() })
+	}
+	verdicts := func(args ...string) (string, int) {
+		return tool(t, append(append([]string{"fleet", "verdicts"}, args...), "--settings", path)...)
+	}
+	require.Eventually(t, func() bool {
+		out, code = verdicts()
+		return code == 0 && strings.Contains(out, "nobody finds fault") && !strings.Contains(out, "no answer")
+	}, 15*time.Second, 200*time.Millisecond, "%s", out)
+	s.servers[1].Behave(standin.Behaviour{Hang: true})
+	require.Eventually(t, func() bool {
+		out, _ = verdicts()
+		return strings.Contains(out, "s1") && strings.Contains(out, "gone")
+	}, 10*time.Second, 100*time.Millisecond, "%s", out)
+	out, code = verdicts("explain", "s1")
+	require.Zero(t, code, out)
+	require.Contains(t, out, "last missed")
+	out, code = verdicts("--json", "--at", at[0]) // a router's own address needs no keeper
+	require.Zero(t, code, out)
+	require.Contains(t, out, `"server":"s1"`)
+	require.NotContains(t, out, `"server":"s0"`)
+	s.servers[1].Behave(standin.Behaviour{})
+	out, code = verdicts("hold", "s0", "--for", "48h", "--why", "too long")
+	require.Equal(t, exitUsage, code, out)
+	out, code = verdicts("hold", "s0", "--for", "1m", "--why", "its disk is changed")
+	require.Zero(t, code, out)
+	require.Eventually(t, func() bool {
+		out, _ = verdicts()
+		return strings.Contains(out, "held for") && strings.Contains(out, "its disk is changed")
+	}, 5*time.Second, 100*time.Millisecond, "%s", out)
+	out, code = verdicts("release", "s0", "--why", "changed")
+	require.Zero(t, code, out)
+	require.Eventually(t, func() bool {
+		out, _ = verdicts()
+		return !strings.Contains(out, "held")
+	}, 5*time.Second, 100*time.Millisecond, "%s", out)
+	for _, c := range all {
+		c.end(t)
+	}
+	// A choice that was changed says by whose word, and how old that was.
+	files, err := filepath.Glob(filepath.Join(s.dir, "n0", "*.tgt"))
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	out, code = tool(t, "trace", "export", files[0], "--to", "jsonl")
+	call := ""
+	for _, line := range strings.Split(out, "\n") {
+		if strings.Contains(line, `"spared"`) {
+			_, rest, _ := strings.Cut(line, `"call":"`)
+			call, _, _ = strings.Cut(rest, `"`)
+			break
+		}
+	}
+	require.NotEmpty(t, call, "no call was sent elsewhere for a verdict: %.2000s", out)
+	out, code = tool(t, "trace", "explain", files[0], call)
+	require.Zero(t, code, out)
+	require.Regexp(t, "s1 is (gone|unreachable)", out)
+	require.Contains(t, out, "ms old")
+}
--- a/controller.go
+++ b/controller.go
@@ -282,9 +282,7 @@
 		}
 		if s.ID == "" || s.Started != entry.Started {
 			s.credit, s.credited, s.parted, s.cared = 1, c.now, 0, 0
-			if c.divided && entry.Started > 0 { // parts of one call each would come to many
-				s.credit = 0
-			} else if entry.Started > 0 {
+			if entry.Started > 0 {
 				s.credit = c.random.Float64()
 			}
 		}
@@ -297,11 +295,6 @@
 	if s := c.byID[e.Server]; s != nil && s.Started == e.Started {
 		s.part, s.parted = e.Part, e.Until
 	} else if e.Server == "" {
-		for _, s := range c.servers {
-			if !c.divided && c.cold(s) {
-				s.credit = 0
-			}
-		}
 		c.divided, c.alone = true, e.Part
 	}
 }
--- a/internal/drill/intrude.go
+++ b/internal/drill/intrude.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"threadglade.example/threadglade/fleet"
 	"threadglade.example/threadglade/fleet/fleetpb"
 	"threadglade.example/threadglade/internal/fleetio"
+	"threadglade.example/threadglade/quota/quotapb"
 )
 
 // Intrusion is what somebody met who had no business with a keeper.
@@ -32,10 +34,63 @@
 	"newer":    func(h *fleetpb.Hello) { h.Version = fleet.LinkVersion + 1 }, // it still speaks this version
 	"large":    func(*fleetpb.Hello) {},
 	"mute":     func(*fleetpb.Hello) {},
+	"greedy":   func(*fleetpb.Hello) {},                   // a router of the fleet by all signs, that wants more than there is
+	"nonsense": func(h *fleetpb.Hello) { h.Talks = true }, // to a router
 	"garbage":  nil,
 	"silent":   nil,
 }
 
+// greedyFor is how long a greedy router claims what it can.
+const greedyFor = 8 * time.Second
+
+// greedy holds a lease as any router does, says of each limit that it is told of that it has and wants beyond all measure, and tells the largest share that it was given of each.
+func greedy(ctx context.Context, s grpc.ClientStream) string {
+	claims := map[string]float64{"all": 0}
+	ask := func(seq, incarnation uint64) error {
+		said := quotapb.Claims{Taken: seq - 1}
+		for name := range claims {
+			said.Claims = append(said.Claims, &quotapb.Claim{Limit: name, Demand: 1e300, Held: 1e300, Used: 1e300})
+		}
+		b, _ := proto.Marshal(&said)
+		return s.SendMsg(&fleetpb.Frame{What: &fleetpb.Frame_Ask{Ask: &fleetpb.Ask{Seq: seq, Process: 99, Incarnation: incarnation, Known: ^uint64(0), Ride: b}}})
+	}
+	answers := make(chan *fleetpb.Answer, 16)
+	go func() {
+		for {
+			f := &fleetpb.Frame{}
+			if s.RecvMsg(f) != nil {
+				return
+			}
+			if a := f.GetAnswer(); a != nil {
+				select {
+				case answers <- a:
+				default:
+				}
+			}
+		}
+	}()
+	incarnation := uint64(0)
+	for seq := uint64(1); ctx.Err() == nil && ask(seq, incarnation) == nil; seq++ {
+		select {
+		case a := <-answers:
+			incarnation = max(incarnation, a.Incarnation)
+			var got quotapb.Grants
+			if proto.Unmarshal(a.Ride, &got) == nil {
+				for _, g := range got.Grants {
+					claims[g.Limit] = max(claims[g.Limit], g.Share)
+				}
+			}
+		case <-time.After(300 * time.Millisecond):
+		case <-ctx.Done():
+		}
+		select {
+		case <-time.After(250 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	return fmt.Sprintf("held incarnation %d, and of each limit at the most %v", incarnation, claims)
+}
+
 // intrude plays one against a keeper and tells what it met.
 func intrude(kind, addr string) Intrusion {
 	in := Intrusion{Kind: kind}
@@ -44,7 +99,11 @@
 		in.Saw = "there is no such intruder"
 		return in
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	patience := 4 * time.Second
+	if kind == "greedy" {
+		patience = greedyFor
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	if change == nil {
 		c, err := net.DialTimeout("tcp4", addr, time.Second)
@@ -95,12 +154,22 @@
 		}
 	}
 	switch kind {
+	case "greedy":
+		in.Saw = greedy(ctx, s)
 	case "newer":
 		in.Refused, in.Saw = false, "let in, as it speaks this version too"
 	case "large":
 		s.SendMsg(&fleetpb.Frame{What: &fleetpb.Frame_Raft{Raft: make([]byte, 8<<20)}})
 		err := s.RecvMsg(&fleetpb.Frame{})
 		in.Refused, in.Saw = err != nil, fmt.Sprint(err)
+	case "nonsense": // says things that are no evidence, and then what only a keeper may
+		for _, f := range []*fleetpb.Frame{{What: &fleetpb.Frame_Talk{Talk: []byte("nonsense")}}, {What: &fleetpb.Frame_Raft{Raft: []byte("nonsense")}}} {
+			s.SendMsg(f)
+		}
+		for err == nil {
+			err = s.RecvMsg(&fleetpb.Frame{})
+		}
+		in.Refused, in.Saw = ctx.Err() == nil, fmt.Sprint(err)
 	case "mute": // asks for the whole state again and again, and never reads
 		sent := 0
 		for ctx.Err() == nil && sent < 400_000 {
--- a/internal/drill/judge.go
+++ b/internal/drill/judge.go
@@ -136,7 +136,7 @@
 	always("each fault was caused", why)
 	why = ""
 	for _, in := range s.intrud {
-		if in.Refused == (in.Kind == "newer") {
+		if in.Refused == (in.Kind == "newer" || in.Kind == "greedy") {
 			why = fmt.Sprintf("%s: %s", in.Kind, in.Saw)
 		}
 	}
--- a/internal/drill/plan.go
+++ b/internal/drill/plan.go
@@ -33,6 +33,7 @@
 	Agents      int              // that a case server says it has; 0: very many
 	Redials     int              // of callers who are refused
 	Zones       int              // routers judge together, spread over so many zones; 0: they do not
+	Liars       int              // so many routers, the first ones, tell the opposite of what they see; in a build for tests
 	Numbers     []string         // beginnings of the numbers called
 	Answer      [2]time.Duration // how long a case server takes to answer
 	Stand       [2]time.Duration // how long a call stands at its case server
@@ -103,6 +104,7 @@
 	s.Int("servers", &p.Servers, 1, 16)
 	s.Int("agents", &p.Agents, 0, 1<<20)
 	s.Int("zones", &p.Zones, 0, 16)
+	s.Int("liars", &p.Liars, 0, 64)
 	s.Int("redials", &p.Redials, 0, 100)
 	s.Int("load", &p.Load, 0, 100_000)
 	s.Span("lease", &p.Lease, 200*time.Millisecond, time.Minute)
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -127,6 +127,7 @@
 	intrud  []Intrusion
 	flaps   []context.CancelFunc
 	before  use
+	aside   sync.WaitGroup // intruders at work
 	mu      sync.Mutex
 }
 
@@ -245,6 +246,7 @@
 	for _, stop := range s.flaps {
 		stop()
 	}
+	s.aside.Wait()
 	over := time.Since(s.start)
 	after := s.use()
 	s.heal(s.order, s.order)
@@ -425,6 +427,9 @@
 		return err
 	}
 	p.env = append(p.env, "NODE_CONFIG="+config)
+	if !strings.HasSuffix(p.id, "+") && count(p.name[1:]) <= s.plan.Liars { // in a build for tests
+		p.env = append(p.env, "VERDICT_MUTANT=liar")
+	}
 	p.args = []string{"serve", "--settings", path}
 	return nil
 }
@@ -735,9 +740,25 @@
 	case "flap":
 		s.flap(h.Who, h.Other, span(f.Args[2]))
 	case "intrude":
-		h.Who = []string{f.Args[1]}
-		if p := s.procs[f.Args[1]]; p != nil {
-			in := intrude(f.Args[0], p.listen)
+		h.Who, _ = s.resolve(f.Args[1])
+		if p := s.procs[h.Who[0]]; p != nil {
+			addr := p.listen
+			if p.talks != "" {
+				addr = p.talks
+			}
+			if f.Args[0] == "greedy" { // it goes on beside what follows
+				s.aside.Add(1)
+				go func() {
+					defer s.aside.Done()
+					in := intrude(f.Args[0], addr)
+					in.At = h.At
+					s.mu.Lock()
+					s.intrud = append(s.intrud, in)
+					s.mu.Unlock()
+				}()
+				break
+			}
+			in := intrude(f.Args[0], addr)
 			in.At = h.At
 			s.intrud = append(s.intrud, in)
 		} else {
--- a/internal/fleetsim/calls.go
+++ b/internal/fleetsim/calls.go
@@ -65,6 +65,7 @@
 	Watched                                time.Duration   // summed over routers and fit servers
 	Ages                                   []time.Duration // of evidence as it came: how old it truly was
 	Over                                   time.Duration   // the most by which evidence was taken to be younger than it was
+	Lifts                                  []int           // routers that came back to a server that was fit again, by 100 ms
 	Frames, FrameBytes                     uint64
 	Cold                                   float64 // the most by which a cold server was sent more than the rule allows, in set-ups
 	ColdSent                               int
@@ -101,6 +102,7 @@
 	wrongAt map[string]time.Duration // since when without a cause
 	linked  map[string]bool
 	talkAt  time.Duration
+	overAt  int // looks for which it has left too many servers alone
 }
 
 type asked struct {
@@ -481,11 +483,26 @@
 	}
 	for _, c := range d.watch.Cares(now, d.list) {
 		until := max(c.Until-now, 0)
+		if slot := int(w.now / (100 * time.Millisecond)); until == 0 && c.Verdict == nil && w.now < d.cared[c.Server] {
+			w.res.Called.Lifts = grow(w.res.Called.Lifts, slot)
+			w.res.Called.Lifts[slot]++
+		}
 		d.router.Care(threadglade.Care{Server: c.Server, Started: c.Started, Until: w.unix() + until}, router.Word{})
 		d.cared[c.Server] = w.now + until
 	}
+	alone := 0
 	for _, s := range w.sites {
 		w.wrong(d, s)
+		if w.now < d.cared[s.id] {
+			alone++
+		}
+	}
+	if share := d.watch.Terms.Share; float64(alone) > share*float64(len(w.sites)) {
+		if d.overAt++; d.overAt > 40 { // what was told before has two seconds to lapse
+			w.broken("%s leaves %d of %d servers alone", d.p.name, alone, len(w.sites))
+		}
+	} else {
+		d.overAt = 0
 	}
 	d.settle()
 }
@@ -495,7 +512,7 @@
 	w.res.Called.Watched += fleet.TickEvery
 	unfit := false
 	for _, b := range w.cfg.Calls.Bad {
-		if b.Server == s.number && w.now >= b.At && w.now < b.At+b.For+w.cfg.Calls.Terms.Return+7*time.Second && (b.Zone == "" || b.Zone == d.zone) && (b.Router == 0 || b.Router-1 == d.index) {
+		if b.Server == s.number && s.started <= b.At && w.now >= b.At && w.now < b.At+b.For+w.cfg.Calls.Terms.Return+7*time.Second && (b.Zone == "" || b.Zone == d.zone) && (b.Router == 0 || b.Router-1 == d.index) {
 			unfit = true
 		}
 	}
@@ -523,7 +540,7 @@
 		}
 		if w.random.Float64() < w.cfg.Calls.LinkLoss { // links lose nothing while they last: this one has ended, and is opened again
 			from := d
-			w.after(100*time.Millisecond, nil, func() {
+			w.after(500*time.Millisecond, nil, func() {
 				if from.p.up && to.up {
 					from.link(to)
 				}
--- a/internal/fleetsim/mutant_test.go
+++ b/internal/fleetsim/mutant_test.go
@@ -3,6 +3,7 @@
 package fleetsim
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"threadglade.example/threadglade/fleet"
 	"threadglade.example/threadglade/quota"
+	"threadglade.example/threadglade/verdict"
 )
 
 // TestMutants shows that the simulation finds the faults that its promises forbid, within a few seeds. Those of disks and wall clocks are the drills' to find.
@@ -41,6 +43,47 @@
 	}
 }
 
+// TestVerdictMutants shows that the simulation finds the faults that would have routers heed too little, too much, or all at once.
+func TestVerdictMutants(t *testing.T) {
+	defer verdict.Mutate("")
+	trouble := func(name string) Config {
+		for _, one := range troublesOf {
+			if one.name == name {
+				cfg := served(1, 40, 12, 8, one.bad...)
+				cfg.For = 22 * time.Second
+				return cfg
+			}
+		}
+		panic(name)
+	}
+	many := trouble("half")
+	for i := 5; i < 9; i++ {
+		many.Calls.Bad = append(many.Calls.Bad, Bad{At: 5 * time.Second, For: 8 * time.Second, Server: i, How: "hang"})
+	}
+	for mutant, one := range map[string]struct {
+		cfg   Config
+		holds func(r *Result) bool
+	}{
+		"one-router":  {trouble("router"), func(r *Result) bool { return r.Called.Wrong < time.Second }},
+		"one-zone":    {trouble("zone"), func(r *Result) bool { return r.Called.Wrong < time.Second }},
+		"old-life":    {trouble("replaced"), func(r *Result) bool { return r.Called.Wrong < time.Second }},
+		"no-share":    {many, func(*Result) bool { return true }},
+		"young":       {trouble("hang"), func(*Result) bool { return true }},
+		"try-at-will": {trouble("hang"), func(r *Result) bool { return r.Called.Wasted < 60 }},
+		"all-at-once": {trouble("hang"), func(r *Result) bool { return slices.Max(r.Called.Lifts) <= 8 }},
+	} {
+		t.Run(mutant, func(t *testing.T) {
+			verdict.Mutate("")
+			r := Run(one.cfg)
+			require.True(t, r.Broken == "" && one.holds(r), "the same world without the fault: %s", r.Broken)
+			verdict.Mutate(mutant)
+			r = Run(one.cfg)
+			require.False(t, r.Broken == "" && one.holds(r), "the fault is not found")
+			t.Logf("%s; wrongly left alone %v, wasted %d, most at once %d", r.Broken, r.Called.Wrong, r.Called.Wasted, slices.Max(append(r.Called.Lifts, 0)))
+		})
+	}
+}
+
 // TestQuotaMutants shows that the simulation finds the faults that would have limits overrun.
 func TestQuotaMutants(t *testing.T) {
 	defer quota.Mutate("")
--- /dev/null
+++ b/verdict/mutant_test.go
@@ -0,0 +1,36 @@
+//go:build mutant
+
+package verdict
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestMutants finds the faults of merging and lapsing; those of heeding are the simulation's to find.
+func TestMutants(t *testing.T) {
+	defer Mutate("")
+	bad := Record{Observer: "r1", Incarnation: 1, Seq: 1, Key: Key{"s0", 0}, Onset: time.Hour - time.Second, BadAt: time.Hour}
+	good := Record{Observer: "r1", Incarnation: 1, Seq: 2, Key: Key{"s0", 0}, GoodAt: time.Hour}
+	for mutant, holds := range map[string]func() bool{
+		"older-wins": func() bool {
+			table := NewTable(DefaultTerms(), "me")
+			table.put(time.Hour, "o", good)
+			table.put(time.Hour, "o", bad)
+			return !table.records[id{"r1", bad.Key}].bad()
+		},
+		"for-ever": func() bool {
+			table := NewTable(DefaultTerms(), "me")
+			table.put(time.Hour, "o", bad)
+			table.Tick(time.Hour + DefaultTerms().Hold + time.Second)
+			return len(table.records) == 0
+		},
+	} {
+		Mutate("")
+		require.True(t, holds(), mutant)
+		Mutate(mutant)
+		require.False(t, holds(), "%s is not found", mutant)
+	}
+}
--- a/verdict/table.go
+++ b/verdict/table.go
@@ -47,7 +47,9 @@
 	by       map[Key]map[string]*Record
 	peers    map[string]*peer
 	zones    map[string]string // of the routers known
-	held     []Verdict         // operators' words
+	count    map[string]int    // routers of each zone
+	judged   map[Key]*judged
+	held     []Verdict // operators' words
 	question map[Key]time.Duration
 	next     time.Duration // when something is to be passed on
 	swept    time.Duration
@@ -63,15 +65,29 @@
 
 // NewTable makes a router's, empty.
 func NewTable(t Terms, self string) *Table {
-	return &Table{Terms: t, self: self, records: map[id]*Record{}, by: map[Key]map[string]*Record{}, peers: map[string]*peer{}, zones: map[string]string{}}
+	return &Table{Terms: t, self: self, records: map[id]*Record{}, by: map[Key]map[string]*Record{}, peers: map[string]*peer{}, zones: map[string]string{}, count: map[string]int{}, judged: map[Key]*judged{}}
 }
 
+// judged is what was concluded of one server; it is concluded anew when evidence comes, and after a while.
+type judged struct {
+	Verdict
+	newest time.Duration // of the evidence that it rests on
+	at     time.Duration
+	stale  bool
+}
+
+// again is after how long something is concluded anew that nothing has come of.
+const again = time.Second
+
 // Members takes who is of the fleet.
 func (t *Table) Members(list []Member) {
 	clear(t.zones)
+	clear(t.count)
 	for _, m := range list[:min(len(list), membersMost)] {
 		t.zones[m.Name] = m.Zone
+		t.count[m.Zone]++
 	}
+	clear(t.judged)
 	t.changed = true
 }
 
@@ -150,9 +166,6 @@
 
 // put merges one record.
 func (t *Table) put(now time.Duration, from string, r Record) {
-	if mutant == "old-life" {
-		r.Started = 0
-	}
 	if from != "" && r.Observer == t.self {
 		return // what this router has seen it knows itself
 	}
@@ -168,6 +181,7 @@
 	switch {
 	case was != nil && !r.newer(was) && mutant != "older-wins":
 		if r.Incarnation == was.Incarnation && r.Seq == was.Seq { // by a quicker way it is known to be younger
+			t.touch(r.Key)
 			for _, one := range [][2]*time.Duration{{&was.Onset, &r.Onset}, {&was.BadAt, &r.BadAt}, {&was.LateAt, &r.LateAt}, {&was.GoodAt, &r.GoodAt}} {
 				*one[0] = max(*one[0], *one[1])
 			}
@@ -190,7 +204,7 @@
 		t.by[r.Key] = map[string]*Record{}
 	}
 	t.by[r.Key][r.Observer] = &r
-	t.changed = true
+	t.touch(r.Key)
 	for name, p := range t.peers {
 		if name != from && p.known[i] < number(&r) {
 			p.dirty[i] = true
@@ -210,8 +224,10 @@
 func (t *Table) drop(i id, lapsed bool) {
 	delete(t.records, i)
 	delete(t.by[i.Key], i.observer)
+	t.touch(i.Key)
 	if len(t.by[i.Key]) == 0 {
 		delete(t.by, i.Key)
+		delete(t.judged, i.Key)
 	}
 	for _, p := range t.peers {
 		delete(p.dirty, i)
@@ -219,7 +235,14 @@
 			delete(p.known, i)
 		}
 	}
+}
+
+// touch has a server judged anew.
+func (t *Table) touch(key Key) {
 	t.changed = true
+	if j := t.judged[key]; j != nil {
+		j.stale = true
+	}
 }
 
 // sweep forgets what has lapsed, and servers that nobody finds fault with any more.
@@ -332,7 +355,13 @@
 func (t *Table) Verdicts(now time.Duration) (list []Verdict) {
 	t.question = make(map[Key]time.Duration, len(t.by))
 	for key, all := range t.by {
-		v := t.judge(now, key, all)
+		j := t.judged[key]
+		if j == nil || j.stale || now-j.at > again {
+			j = t.judge(now, key, all)
+			t.judged[key] = j
+		}
+		v := j.Verdict
+		v.Age = max(now-j.newest, 0)
 		t.question[key] = v.Since
 		list = append(list, v)
 	}
@@ -352,11 +381,12 @@
 type camp struct{ bad, good int }
 
 // judge weighs the evidence on one server.
-func (t *Table) judge(now time.Duration, key Key, all map[string]*Record) Verdict {
-	v := Verdict{Key: key, Others: t.Others(), Confidence: 1}
+func (t *Table) judge(now time.Duration, key Key, all map[string]*Record) *judged {
+	v := &judged{Verdict: Verdict{Key: key, Others: t.Others(), Confidence: 1}, at: now}
+	names := sortedNames(all)
 	var bad, good, late, full []*Record
 	var onsets []time.Duration
-	for _, name := range sortedNames(all) {
+	for _, name := range names {
 		switch r := all[name]; {
 		case r.bad():
 			bad = append(bad, r)
@@ -373,14 +403,12 @@
 	}
 	quorum := t.quorum(t.Others())
 	age := func(list []*Record) {
-		at := time.Duration(0)
 		for _, r := range list {
-			at = max(at, r.last())
+			v.newest = max(v.newest, r.last())
 			if len(v.Sources) < sourcesMost {
 				v.Sources = append(v.Sources, r.Observer)
 			}
 		}
-		v.Age = max(now-at, 0)
 	}
 	slices.Sort(onsets)
 	if len(bad) > 0 {
@@ -388,7 +416,7 @@
 		// says nothing of what came after it.
 		v.Since = onsets[max(len(onsets)-quorum, 0)]
 		bad, good = nil, nil
-		for _, name := range sortedNames(all) {
+		for _, name := range names {
 			switch r := all[name]; {
 			case max(r.GoodAt, r.LateAt) > v.Since:
 				good = append(good, r)
@@ -434,6 +462,10 @@
 		age(bad)
 	case len(v.Zones) > 0:
 		v.Kind = Cut
+		v.Bad, v.Good, v.Others = 0, 0, 0 // those of other zones have no say in how soon these try again
+		for _, zone := range v.Zones {
+			v.Bad, v.Good, v.Others = v.Bad+camps[zone].bad, v.Good+camps[zone].good, v.Others+t.inZone(zone)
+		}
 		v.Confidence = float64(len(bad)) / float64(len(bad)+len(good))
 		age(bad)
 	case len(bad) > 0:
@@ -459,22 +491,9 @@
 func (t *Table) quorum(of int) int { return max(2, min(t.Terms.Quorum, of-1)) }
 
 // zoneCount is how many zones the routers known are in.
-func (t *Table) zoneCount() int {
-	zones := map[string]bool{}
-	for _, z := range t.zones {
-		zones[z] = true
-	}
-	return len(zones)
-}
+func (t *Table) zoneCount() int { return len(t.count) }
 
-func (t *Table) inZone(zone string) (n int) {
-	for _, z := range t.zones {
-		if z == zone {
-			n++
-		}
-	}
-	return n
-}
+func (t *Table) inZone(zone string) int { return t.count[zone] }
 
 func (t *Table) zonesOf(list []*Record) int {
 	zones := map[string]bool{}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -29,7 +29,7 @@
 	Hold    time.Duration // evidence counts for so long at the most
 	Slot    time.Duration // what a router has seen is told anew no sooner
 	Flush   time.Duration // what has come is passed on within it
-	Trial   time.Duration // one router in all tries a condemned server in it, and as many more as have had an answer
+	Trial   time.Duration // one router in all tries a condemned server in it, and twice as many as have had an answer since
 	Drift   float64       // bound on how far any clock's rate is from true time
 	Return  time.Duration // routers come back to a server that is fit again spread over so long
 }
@@ -37,7 +37,7 @@
 // DefaultTerms are those without a word in the settings.
 func DefaultTerms() Terms {
 	return Terms{Quorum: 3, Share: 0.5, Silence: 250 * time.Millisecond, Late: 500 * time.Millisecond, Hold: 30 * time.Second, Slot: 250 * time.Millisecond, Flush: 20 * time.Millisecond,
-		Trial: 250 * time.Millisecond, Return: 2 * time.Second, Drift: 0.01}
+		Trial: 500 * time.Millisecond, Return: 2 * time.Second, Drift: 0.01}
 }
 
 // Validate says what is wrong with them.
--- a/verdict/watch.go
+++ b/verdict/watch.go
@@ -20,8 +20,10 @@
 	slotsMost = 1 << 20
 	// trialWithin is how long a router that may try a condemned server waits for a call to do it with.
 	trialWithin = time.Second
+	// leastCalls is the least chance that a router is taken to have of a call for a server while its turn lasts.
+	leastCalls = 0.005
 	// seldom is how many times as seldom a server is tried that has long been gone.
-	seldom = 4
+	seldom = 3
 	// careFor is how long the decisions are told to leave a server alone at a time.
 	careFor = time.Second
 	// cycle is the time of which a slow server is left alone for a part.
@@ -80,6 +82,8 @@
 	slots  []*seen // by slot
 	order  []*seen
 	total  map[string]int // servers of each class
+	sent   float64        // attempts of late, fading
+	faded  time.Duration
 	seq    uint64
 	Count  WatchCounts
 }
@@ -131,6 +135,8 @@
 		w.slots = append(w.slots, nil)
 	}
 	w.slots[slot] = s
+	w.fade(now)
+	w.sent++
 	s.out = append(s.out, attempt{slot: slot, sent: now})
 	if s.trial != 0 { // this is the try: until it is answered there is no other
 		s.trial, s.trying = 0, true
@@ -233,6 +239,11 @@
 	}
 }
 
+func (w *Watch) fade(now time.Duration) {
+	w.sent *= math.Exp(-float64(max(now-w.faded, 0)) / float64(decay))
+	w.faded = max(now, w.faded)
+}
+
 // patience is how long an answer may take before it is missed.
 func (w *Watch) patience(s *seen) time.Duration {
 	return min(max(w.Terms.Silence, time.Duration(4*s.usual*float64(time.Second))), patienceMost)
@@ -295,6 +306,9 @@
 		w.seq++
 		r.Seq, r.Zone = w.seq, w.Zone
 		s.told, s.toldAt = r, now
+		if mutant == "liar" {
+			r.BadAt, r.GoodAt, r.Onset = r.GoodAt, r.BadAt, max(r.GoodAt, 1)
+		}
 		list = append(list, r)
 	}
 	return list
@@ -327,7 +341,7 @@
 	for i := range verdicts {
 		v := &verdicts[i]
 		s := w.byID[v.Server]
-		if s == nil || s.Server.Key != v.Key && v.Kind != Held || !v.condemns(w.Zone) && !(v.Kind == Slow && v.Part >= slowLeast) {
+		if s == nil || s.Server.Key != v.Key && v.Kind != Held && mutant != "old-life" || !v.condemns(w.Zone) && !(v.Kind == Slow && v.Part >= slowLeast) {
 			continue
 		}
 		by[s.Server.Key] = v
@@ -345,7 +359,7 @@
 		}
 		until, lifts := w.care(now, s, v)
 		switch {
-		case until > now && until-s.cared > careFor/4:
+		case until > now && until > s.cared && (until-s.cared > careFor/4 || s.cared-now < careFor/4):
 			cares = append(cares, Care{s.Server.Key, until, v})
 			s.cared = until
 			w.Count.Cares++
@@ -418,13 +432,20 @@
 	return now + careFor, false
 }
 
-// turn is the chance that this router's try comes within a span, so that all together try as often as they should: one in each Trial at first, up to four times as seldom where a server
-// has long been gone, and as many more as have had an answer since.
+// turn is the chance that this router's try comes within a span, so that all together try as often as they should: one in each Trial at first, up to three times as seldom where a server
+// has long been gone, and twice as many as have had an answer since.
 func (w *Watch) turn(now time.Duration, v *Verdict, span time.Duration) float64 {
 	if mutant == "try-at-will" {
 		return 1
 	}
-	each := float64(w.Terms.Trial) * float64(max(v.Others, 1)) / float64(max(v.Good, 1))
+	each := float64(w.Terms.Trial) * float64(max(v.Others, 1))
+	if v.Good > 0 {
+		each /= 2 * float64(v.Good)
+	}
+	// Whose turn it is may have no call for the server while it lasts: so many more have theirs.
+	w.fade(now)
+	calls := w.sent / decay.Seconds() / float64(max(len(w.order), 1)) * trialWithin.Seconds()
+	each *= max(1-math.Exp(-calls), leastCalls)
 	if v.Good == 0 {
 		each *= min(max(float64(now-v.Since)/float64(8*w.Terms.Trial), 1), seldom)
 	}
