--- a/cmd/threadglade/bench_test.go
+++ b/cmd/threadglade/bench_test.go
@@ -31,7 +31,7 @@
 //	go test ./cmd/threadglade -run '^$' -bench Serve -benchtime 1x -timeout 20m
 //
 // OTHER names another build of the program, to be measured beside this one with everything off; MODES is which of off, ledger, trace,
-// fleet and other are measured.
+// fleet, verdicts and other are measured.
 
 // outcome is what one measured life of a router comes to.
 type outcome struct {
@@ -52,7 +52,9 @@
 	case "trace":
 		args = append(args, "--settings", s.file("settings", fmt.Sprintf(`(threadglade (trace (directory %q)))`, dir)))
 	case "fleet":
-		args = append(args, "--settings", s.keepers(b))
+		args = append(args, "--settings", s.keepers(b, "", ""))
+	case "verdicts": // on top of the fleet
+		args = append(args, "--settings", s.keepers(b, fmt.Sprintf(`(listen %q) (zone "a")`, port(b)), `(verdicts)`))
 	}
 	c := startProgram(b, program, s.config("n0", listen), args...)
 	c.await(b)
@@ -99,8 +101,8 @@
 	return o
 }
 
-// keepers starts three of them and returns the settings of a router of their fleet.
-func (s *stage) keepers(b *testing.B) string {
+// keepers starts three of them and returns the settings of a router of their fleet, with more in its section and beside it.
+func (s *stage) keepers(b *testing.B, more, beside string) string {
 	var section strings.Builder
 	for i := range 3 {
 		fmt.Fprintf(&section, `(keeper "k%d" (address %q))`, i, port(b))
@@ -115,7 +117,7 @@
 		k := startProgram(b, os.Args[0], nil, "fleet", "keeper", "--name", name, "--settings", s.file(name, fmt.Sprintf(text, filepath.Join(out, name))))
 		b.Cleanup(k.kill)
 	}
-	return path
+	return s.file("router", fmt.Sprintf(`(threadglade (fleet (name "bench") (members "n*") `+section.String()+` %s) %s)`, more, beside))
 }
 
 func median(list []float64) float64 {
--- a/cmd/threadglade/limits.go
+++ b/cmd/threadglade/limits.go
@@ -20,6 +20,9 @@
 	"threadglade.example/threadglade/quota/quotapb"
 )
 
+// shownMost holders of a limit are named in a line.
+const shownMost = 3
+
 // addLimits adds what operators see and say of the fleet's limits.
 func addLimits(root *cobra.Command) {
 	var path, why string
@@ -112,7 +115,7 @@
 	}
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	if !asJSON {
-		fmt.Fprintln(t, "limit\tkind\tmost\tcounts\tcut off\tgiven out\tkept\tused\twanted\trouters\tset by\t")
+		fmt.Fprintln(t, "limit\tkind\tmost\tcounts\tcut off\tgiven out\theld by\tkept\tused\trefused\tcertain\tset by\t")
 	}
 	for _, s := range all {
 		counts := strings.TrimSpace(fmt.Sprintf("%s %s %s", s.Class, s.Tenant, s.Number))
@@ -120,11 +123,25 @@
 			counts = "all"
 		}
 		if asJSON {
-			b, _ := json.Marshal(map[string]any{"limit": s.Limit, "kind": s.Kind, "most": s.Most, "cut_off": s.CutOff, "out": s.Out, "kept": s.Kept, "used": s.Used, "wanted": s.Demand, "routers": s.Holders, "set_by": words[s.Limit]})
+			b, _ := json.Marshal(map[string]any{"refused": max(s.Demand-s.Used, 0), "held": s.Held, "limit": s.Limit, "kind": s.Kind, "most": s.Most, "cut_off": s.CutOff, "out": s.Out, "kept": s.Kept, "used": s.Used, "wanted": s.Demand, "routers": s.Holders, "set_by": words[s.Limit]})
 			fmt.Fprintln(w, string(b))
 			continue
 		}
-		fmt.Fprintf(t, "%s\t%s\t%g\t%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%s\t\n", s.Limit, s.Kind, s.Most, counts, s.CutOff, s.Out, s.Kept, s.Used, s.Demand, s.Holders, words[s.Limit])
+		// A share is certain as of its holder's last ask; the oldest of them says how far the line is to be believed.
+		held, oldest := "", int64(0)
+		for i, h := range s.Held {
+			if oldest = max(oldest, h.AgeMs); i < shownMost {
+				held += fmt.Sprintf("%s %.1f ", h.Router, h.Share)
+			}
+		}
+		if more := int(s.Holders) - shownMost; more > 0 {
+			held += fmt.Sprintf("and %d more", more)
+		}
+		certain := "never"
+		if s.Holders > 0 {
+			certain = fmt.Sprintf("%d ms ago", oldest)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%g\t%s\t%s\t%.1f\t%s\t%.1f\t%.1f\t%.1f\t%s\t%s\t\n", s.Limit, s.Kind, s.Most, counts, s.CutOff, s.Out, held, s.Kept, s.Used, max(s.Demand-s.Used, 0), certain, words[s.Limit])
 	}
 	return t.Flush()
 }
--- a/quota/divider.go
+++ b/quota/divider.go
@@ -30,6 +30,7 @@
 	lives   map[string]*life
 	active  map[string]*active // by the name that claims have
 	ghosts  int
+	now     time.Duration // when it was asked last
 	Granted uint64
 	Refused uint64 // claims of limits that are not, or beyond activeMost
 }
@@ -52,6 +53,7 @@
 	portions    map[string]*portion
 	ceilings    map[string]float64 // of limits of Calls, as the log has them
 	heard       bool               // by this Divider
+	asked       time.Duration
 }
 
 // portion is what a life has of one limit.
@@ -299,7 +301,7 @@
 	}
 	l := d.life(now, name, incarnation, process)
 	first := !l.heard
-	l.heard = true
+	l.heard, l.asked, d.now = true, now, max(now, d.now)
 	clear(l.ceilings)
 	for _, c := range ceilings {
 		if c.Incarnation == incarnation {
@@ -453,8 +455,15 @@
 // Standing is one limit as the Divider has it, for people.
 type Standing struct {
 	Limit
-	Out, Kept, Used, Demand float64 // may be in force; kept for lives that are over; admitted; wanted
-	Holders                 int
+	Out, Kept, Used, Demand float64  // may be in force; kept for lives that are over; admitted; wanted
+	Holders                 []Holder // the largest share first
+}
+
+// Holder is what one router has of a limit: what may be in force, what it admits and what is wanted of it, and for how long that has been known.
+type Holder struct {
+	Name               string
+	Share, Used, Wants float64
+	Age                time.Duration
 }
 
 // Standings lists them; of limits that hold for each, what is active.
@@ -466,11 +475,13 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.active)) {
 		a := d.active[name]
-		s := Standing{Limit: *a.Limit, Holders: len(a.lives)}
+		s := Standing{Limit: *a.Limit}
 		s.Name = name
-		for _, p := range a.lives {
+		for l, p := range a.lives {
 			s.Out, s.Used, s.Demand = s.Out+p.bound(), s.Used+p.used, s.Demand+p.demand
+			s.Holders = append(s.Holders, Holder{l.name, p.bound(), p.used, p.demand, d.now - l.asked})
 		}
+		slices.SortFunc(s.Holders, func(a, b Holder) int { return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(a.Name, b.Name)) })
 		for _, g := range a.ghosts {
 			s.Kept += g.places
 		}
--- a/quota/ride.go
+++ b/quota/ride.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -99,12 +101,29 @@
 	return puts
 }
 
-// Report implements fleet.Rider: the limits as this keeper divides them.
+// Bounds of a report.
+const (
+	standingsMost = 2000
+	holdersMost   = 8
+)
+
+// Report implements fleet.Rider: the limits as this keeper divides them. Of more than a report holds, those that are wanted most go in.
 func (r *Rider) Report() []byte {
 	var out quotapb.Standings
-	for _, s := range r.Divider.Standings() {
-		out.Standings = append(out.Standings, &quotapb.Standing{Limit: s.Name, Kind: s.Kind.String(), Most: s.Most, CutOff: s.CutOff.String(), Out: s.Out, Kept: s.Kept, Used: s.Used, Demand: s.Demand,
-			Holders: uint32(s.Holders), Class: s.Class, Tenant: s.Tenant, Number: s.Number})
+	list := r.Divider.Standings()
+	if len(list) > standingsMost {
+		slices.SortStableFunc(list, func(a, b Standing) int { return cmp.Compare(b.Demand, a.Demand) })
+		out.LeftOut = uint32(len(list) - standingsMost)
+		list = list[:standingsMost]
+		slices.SortFunc(list, func(a, b Standing) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	for _, s := range list {
+		one := &quotapb.Standing{Limit: s.Name, Kind: s.Kind.String(), Most: s.Most, CutOff: s.CutOff.String(), Out: s.Out, Kept: s.Kept, Used: s.Used, Demand: s.Demand,
+			Holders: uint32(len(s.Holders)), Class: s.Class, Tenant: s.Tenant, Number: s.Number}
+		for _, h := range s.Holders[:min(len(s.Holders), holdersMost)] {
+			one.Held = append(one.Held, &quotapb.Holder{Router: h.Name, Share: h.Share, Used: h.Used, Wants: h.Wants, AgeMs: h.Age.Milliseconds()})
+		}
+		out.Standings = append(out.Standings, one)
 	}
 	b, _ := proto.Marshal(&out)
 	return b
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -15,7 +15,7 @@
 	nameMost    = 128
 	membersMost = 4096
 	serversMost = 4096    // that one router watches
-	askedMost   = 64      // servers that are in question at once; more are judged by each router alone
+	askedMost   = 512     // servers that are in question at once; more are judged by each router alone
 	recordsMost = 1 << 16 // that a router holds
 	frameMost   = 512     // records of one frame
 )
