--- a/internal/node/product.go
+++ b/internal/node/product.go
@@ -146,6 +146,9 @@
 	}
 	if o := p.Fleet; o != nil {
 		o.Describe(w)
+		if v := o.Verdicts; v != nil {
+			fmt.Fprintf(w, "  (verdicts (quorum %d) (share-percent %.0f) (silence %q) (late %q) (hold %q) (trial %q) (return %q))\n", v.Quorum, 100*v.Share, v.Silence, v.Late, v.Hold, v.Trial, v.Return)
+		}
 	}
 	for _, l := range p.Limits {
 		fmt.Fprintf(w, "  ; limit %q: %s %g, cut off %s\n", l.Name, l.Kind, l.Most, l.CutOff)
--- a/verdict/verdict_test.go
+++ b/verdict/verdict_test.go
@@ -367,6 +367,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
+		table.touch(Key{"s0", 0}) // something has come
 		table.Verdicts(now)
 	}
 }
