Verdicts: an answer that crossed the onset of a hang no longer speaks for the server

Need: a drill that fails where nothing is shared. verdict-told has three routers find a hung server, then all callers change to the three others. Cause (each router's verdict events, traces): r1 to r3 all missed answers at 42.4, yet r4 to r6 found `bad-link 1` until 47.4. With as many bad routers as the quorum, Since was the earliest onset, and judge() counted the two others as speaking against it, for their last answers, to set-ups sent before the hang, had come a few milliseconds after. Nobody sent any more, so it stayed so. Ruled out: words that did not arrive (they had r1's and r2's records), tries (vt1 has two a router), Care not heeded (none was told). Change: an answer speaks against a silence only if it came later than the least silence after its onset; sooner it may be to what was sent before. A drill's word may name several processes (r1&r2).

--- a/cmd/threadglade/drill_test.go
+++ b/cmd/threadglade/drill_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -15,7 +16,7 @@
 	"fleet-disk", "fleet-dying", "fleet-minority", "fleet-intruders",
 	"quota-split", "quota-moves", "quota-calls", "quota-floor", "quota-words", "quota-cold", "quota-storm", "quota-swing", "quota-tenant", "quota-further", "quota-greedy", "quota-small", "quota-many",
 	"verdict-hang", "verdict-zone", "verdict-link", "verdict-slow", "verdict-flap", "verdict-replace", "verdict-stop", "verdict-split", "verdict-keepers", "verdict-half", "verdict-hold", "verdict-links",
-	"verdict-flaps", "verdict-waves", "verdict-intruders"}
+	"verdict-flaps", "verdict-waves", "verdict-intruders", "verdict-told"}
 
 // runDrill carries out a drill file with this program.
 func runDrill(t *testing.T, name string, env ...string) *drill.Result {
@@ -31,6 +32,23 @@
 	return r
 }
 
+// TestToldAlone shows that sharing is what keeps the promise of verdict-told: the same plan with nothing shared breaks it.
+func TestToldAlone(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real processes, 15 s")
+	}
+	t.Parallel()
+	plan, err := drill.Load(filepath.Join("..", "..", "docs", "drills", "verdict-told.edn"))
+	require.NoError(t, err)
+	plan.Zones = 0 // no links between neighbours, no verdicts
+	r, err := drill.Run(t.Context(), plan, drill.Options{Program: os.Args[0], Env: []string{"CHILD=1"}, Dir: t.TempDir(), Say: t.Logf})
+	require.NoError(t, err)
+	for _, v := range r.Verdicts {
+		t.Logf("%-40s %v %s", v.What, v.Holds, v.Why)
+		require.Equal(t, !strings.HasPrefix(v.What, "sent-most"), v.Holds, v.What)
+	}
+}
+
 // TestDrills runs real processes of this program with faults between them.
 func TestDrills(t *testing.T) {
 	if testing.Short() {
--- a/internal/drill/plan.go
+++ b/internal/drill/plan.go
@@ -73,7 +73,7 @@
 }
 
 var process = sync.OnceValue(func() *regexp.Regexp {
-	return regexp.MustCompile(`^(leader|was-leader|all|[krsc][0-9]+\+?|[krsc]\*)$`)
+	return regexp.MustCompile(`^(leader|was-leader|all|[krsc]\*|[krsc][0-9]+\+?(&[krsc][0-9]+\+?)*)$`)
 })
 
 // Load reads a drill file. The error names file, line and field.
@@ -204,7 +204,7 @@
 		switch kind {
 		case 'p':
 			if !process().MatchString(args[i]) {
-				return fmt.Sprintf("%q is no process: k1, r2, s0, c0, r1+ (the twin), r*, all, leader, was-leader", args[i])
+				return fmt.Sprintf("%q is no process: k1, r2, s0, c0, r1+ (the twin), r1&r2 (several), r*, all, leader, was-leader", args[i])
 			}
 		case 'd':
 			_, err = time.ParseDuration(args[i])
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -566,7 +566,7 @@
 		}
 		return ids, false
 	}
-	return []string{pattern}, false
+	return strings.Split(pattern, "&"), false
 }
 
 // replace puts new case servers in the place of others, cold, under names of their own: s1 becomes s1x. Every router's name service says so at once.
--- a/verdict/mutant_test.go
+++ b/verdict/mutant_test.go
@@ -3,6 +3,7 @@
 package verdict
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -27,6 +28,15 @@
 			table.Tick(time.Hour + DefaultTerms().Hold + time.Second)
 			return len(table.records) == 0
 		},
+		"crossed-answers": func() bool {
+			table := NewTable(DefaultTerms(), "me")
+			table.Members(fleet(6, 3))
+			for i := range 3 {
+				crossed := time.Duration(i) * 4 * ms
+				table.put(time.Hour, "o", Record{Observer: fmt.Sprint("r", i), Zone: fmt.Sprint("z", i), Incarnation: 1, Seq: 1, Key: bad.Key, Onset: bad.Onset + crossed, GoodAt: bad.Onset + 2*crossed, BadAt: bad.BadAt})
+			}
+			return table.Verdicts(time.Hour)[0].Kind == Gone
+		},
 	} {
 		Mutate("")
 		require.True(t, holds(), mutant)
--- a/verdict/table.go
+++ b/verdict/table.go
@@ -413,8 +413,11 @@
 	slices.Sort(onsets)
 	if len(bad) > 0 {
 		// As many as it takes have sent from then on what was never answered: whoever has had any answer since speaks against them, also one that waits for the next. An answer from before
-		// says nothing of what came after it.
+		// says nothing of what came after it, and one that came within the least silence of then may be to what was sent before.
 		v.Since = onsets[max(len(onsets)-quorum, 0)]
+		if mutant != "crossed-answers" {
+			v.Since += t.Terms.Silence
+		}
 		bad, good = nil, nil
 		for _, name := range names {
 			switch r := all[name]; {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -129,7 +129,7 @@
 	Sources    []string
 	Confidence float64       // part of the routers with an opinion that share it
 	Age        time.Duration // since the newest evidence that it rests on
-	Since      time.Duration // from then on enough routers have sent what was never answered
+	Since      time.Duration // an answer that came later was to something sent after what enough routers miss: it speaks against them
 	Until      time.Duration // of Held
 	Why        string        // of Held
 }
--- a/verdict/verdict_test.go
+++ b/verdict/verdict_test.go
@@ -112,6 +112,25 @@
 	require.Equal(t, []string{"r1"}, v[0].Sources)
 }
 
+// TestCrossed: of three routers that miss a server each had an answer a few milliseconds after another's first miss: what had been sent before. They condemn it all the same, and an answer to
+// what was sent later speaks against them.
+func TestCrossed(t *testing.T) {
+	const onset = time.Hour - 600*ms
+	table := NewTable(DefaultTerms(), "me")
+	table.Members(fleet(6, 3))
+	for i, r := range []Record{{Onset: onset, GoodAt: onset - 5*ms}, {Onset: onset + 4*ms, GoodAt: onset + 20*ms}, {Onset: onset + 9*ms, GoodAt: onset + 25*ms}} {
+		r.Observer, r.Zone, r.Incarnation, r.Seq, r.Key, r.BadAt = fmt.Sprint("r", i), fmt.Sprint("z", i), 1, 1, Key{"s0", 0}, time.Hour
+		table.put(time.Hour, "o", r)
+	}
+	require.Equal(t, Gone, table.Verdicts(time.Hour)[0].Kind)
+	table.put(time.Hour, "o", Record{Observer: "r3", Zone: "z0", Incarnation: 1, Seq: 1, Key: Key{"s0", 0}, GoodAt: onset + 20*ms})
+	require.Equal(t, Gone, table.Verdicts(time.Hour)[0].Kind, "it may be to what was sent before")
+	for i := 3; i < 5; i++ {
+		table.put(time.Hour, "o", Record{Observer: fmt.Sprint("r", i), Zone: fmt.Sprint("z", i%3), Incarnation: 1, Seq: 2, Key: Key{"s0", 0}, GoodAt: onset + 251*ms})
+	}
+	require.Equal(t, BadLink, table.Verdicts(time.Hour)[0].Kind)
+}
+
 // TestBounds: whatever comes, no more is held than may be, and all of it lapses by age.
 func TestBounds(t *testing.T) {
 	terms := DefaultTerms()
