Ledger: which answered releases a kill can lose, shown by a test, and said on the page

Need: ends whose release was answered with 200 were seen to end as `unknown` after kills on a busy machine. Cause: Carrier.Passed opens the gate when the writer has not moved for `patience` (20 ms); entries then wait in memory and die with the process. Ruled out: the order of 200 and entry (loop's gate holds both of one turn), strays above 50 a second (their calls are ended by the server), recovery of torn segments. Change: no code; the page says in which case, the test holds that there is no other.

--- a/cmd/threadglade/ledger_test.go
+++ b/cmd/threadglade/ledger_test.go
@@ -183,6 +183,80 @@
 	require.Less(t, len(names), 50, "what was exported is removed")
 }
 
+// TestAcknowledged has a router under load killed again and again, and asks of each release that was answered, a case server's or a caller's, whether the call's end is written down. Only
+// a life whose log says that the disk does not keep up may have answered one that it had only in memory.
+func TestAcknowledged(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, 3, standin.ServerConfig{Seed: 8, AnswerWithin: [2]time.Duration{time.Millisecond, 6 * time.Millisecond}, Hold: [2]time.Duration{50 * time.Millisecond, 1500 * time.Millisecond}})
+	listen := port(t)
+	dir, out := filepath.Join(s.dir, "ledger"), filepath.Join(s.dir, "out")
+	env := s.config("n0", listen)
+	args := []string{"serve", "--settings", s.file("settings", strings.Replace(books(dir, out, ""), "(unknown-after 2s)", "(unknown-after 4s)", 1))}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	load := standin.StartLoad(ctx, standin.LoadConfig{Target: func() string { return listen }, Connections: 6, Seed: 6, Rate: 1500, Classes: []string{"voice", "data"}, Numbers: []string{"92"}, HangUp: 0.9, HangUpIn: 200 * time.Millisecond})
+	troubled := 0
+	var bad [][2]time.Time
+	random := rand.New(rand.NewPCG(12, 1))
+	for range 12 {
+		began := time.Now()
+		c := start(t, env, args...)
+		c.await(t)
+		time.Sleep(time.Duration(150+random.IntN(350)) * time.Millisecond)
+		c.kill()
+		if strings.Contains(c.log(), "ledger_trouble") {
+			troubled++
+			bad = append(bad, [2]time.Time{began, time.Now()})
+		}
+	}
+	last := start(t, env, args...)
+	last.await(t)
+	time.Sleep(700 * time.Millisecond)
+	cancel()
+	load.Wait()
+	s.quiet()
+	time.Sleep(4300 * time.Millisecond)
+	last.end(t)
+	time.Sleep(1300 * time.Millisecond)
+	_, code := tool(t, "ledger", "export", dir, "--to", out)
+	require.Zero(t, code)
+	files, err := filepath.Glob(filepath.Join(out, "*.tgx"))
+	require.NoError(t, err)
+	unknown := map[string]bool{}
+	for _, path := range files {
+		e, err := ledgerio.ReadExport(durable.OS{}, path, nil)
+		require.NoError(t, err)
+		for _, c := range e.Unknown {
+			unknown[c.Call] = true
+		}
+	}
+	calls, ends, lost := 0, 0, 0
+	var open []string
+	for _, one := range s.servers {
+		for id, c := range one.Calls() {
+			calls++
+			acked := slices.DeleteFunc([]time.Time{c.Heard, load.Heard(id)}, time.Time.IsZero)
+			if len(acked) == 0 {
+				continue
+			}
+			ends++
+			in := slices.ContainsFunc(acked, func(at time.Time) bool {
+				return slices.ContainsFunc(bad, func(life [2]time.Time) bool {
+					return !at.Before(life[0]) && at.Before(life[1].Add(10*time.Millisecond))
+				})
+			})
+			switch {
+			case unknown[id] && in: // the disk was in trouble: calls go on without, as the page says
+				lost++
+			case unknown[id]:
+				open = append(open, fmt.Sprintf("%s answered at %v, released by its caller %v", id, acked, c.ByCaller))
+			}
+		}
+	}
+	t.Logf("%d lives with the disk in trouble; %d calls, %d ends acknowledged, %d calls unknown, %d of both in those lives, %d in others\n%s", troubled, calls, ends, len(unknown), lost, len(open), strings.Join(open, "\n"))
+	require.Empty(t, open)
+}
+
 // TestTwoRouters has refused and failed calls tried again at another router, and both routers' exports merged by the command.
 func TestTwoRouters(t *testing.T) {
 	t.Parallel()
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -54,8 +54,9 @@
 	cfg    LoadConfig
 	mu     sync.Mutex
 	count  LoadCounts
-	ends   map[string]string // call to what became of it, where recorded
-	hung   map[string]bool   // calls whose callers have released them, or tried to
+	ends   map[string]string    // call to what became of it, where recorded
+	acked  map[string]time.Time // when releases of callers were answered
+	hung   map[string]bool      // calls whose callers have released them, or tried to
 	conns  map[*callerConn]bool
 	tries  map[string]int // redials that came before a call that is open
 	firsts map[string]*Try
@@ -86,7 +87,7 @@
 	if cfg.Servers == 0 {
 		cfg.Servers = 2
 	}
-	l := &Load{cfg: cfg, ends: map[string]string{}, hung: map[string]bool{}, conns: map[*callerConn]bool{}, tries: map[string]int{}, firsts: map[string]*Try{}, prefix: rand.New(rand.NewPCG(cfg.Seed, 1)).Uint64() &^ 0xffffffff}
+	l := &Load{cfg: cfg, ends: map[string]string{}, acked: map[string]time.Time{}, hung: map[string]bool{}, conns: map[*callerConn]bool{}, tries: map[string]int{}, firsts: map[string]*Try{}, prefix: rand.New(rand.NewPCG(cfg.Seed, 1)).Uint64() &^ 0xffffffff}
 	l.SetRate(cfg.Rate)
 	for i := range cfg.Connections {
 		l.done.Add(1)
@@ -128,6 +129,13 @@
 	return l.hung[id]
 }
 
+// Heard tells when a caller's release of a call was answered; zero: it was not.
+func (l *Load) Heard(id string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.acked[id]
+}
+
 // Ends tells what became of each call: stood, refused, failed or lost.
 func (l *Load) Ends() map[string]string {
 	l.mu.Lock()
@@ -314,6 +322,10 @@
 		case c.room <- true:
 		default:
 		}
+	case m.Method() == "BYE" && m.Status() == 200:
+		c.l.mu.Lock()
+		c.l.acked[id] = time.Now()
+		c.l.mu.Unlock()
 	case m.Method() == "BYE" && m.Status() == 0:
 		c.w.send(Response(200, "BYE", id, ""))
 		c.l.mu.Lock()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -34,6 +34,7 @@
 	Released bool // the call has come to its end
 	ByCaller bool // by a release from the router's side
 	Cut      bool
+	Heard    time.Time // when its release was answered; zero: it was not
 	Class    string
 	Number   string
 	Held     time.Duration
@@ -272,6 +273,9 @@
 			s.count.Released++
 		}
 	case m.Method() == "BYE":
+		if c := s.calls[id]; c != nil && c.Released && !c.ByCaller && c.Heard.IsZero() {
+			c.Heard = time.Now()
+		}
 		for i := range s.owed {
 			if s.owed[i].call == id {
 				s.owed[i].heard = true
