Verdicts: crossing answers told by when their set-ups were sent; those that return count in the share

(2) Cares() counted what verdicts bar, not what comes back spread over 2 s beside it. Change: a record says when the latest answered set-up was sent; only a router that misses answers, and whose answer came within a quarter of the least silence (one usual time) to what was sent before the onset, is spared from speaking against itself. What returns is taken back at once where it would exceed the share.

--- a/internal/fleetsim/calls.go
+++ b/internal/fleetsim/calls.go
@@ -470,6 +470,7 @@
 	if d.liar {
 		for i := range own {
 			own[i].BadAt, own[i].GoodAt = own[i].GoodAt, own[i].BadAt
+			own[i].PassedAt = own[i].GoodAt
 			own[i].Onset = max(own[i].BadAt-time.Second, 1)
 		}
 	}
--- a/verdict/table.go
+++ b/verdict/table.go
@@ -144,7 +144,7 @@
 			t.Count.Refused++
 			continue
 		}
-		for _, at := range []*time.Duration{&r.Onset, &r.BadAt, &r.LateAt, &r.GoodAt} {
+		for _, at := range []*time.Duration{&r.Onset, &r.BadAt, &r.LateAt, &r.GoodAt, &r.PassedAt} {
 			if age := *at; age < 0 {
 				*at = 0
 			} else {
@@ -182,7 +182,7 @@
 	case was != nil && !r.newer(was) && mutant != "older-wins":
 		if r.Incarnation == was.Incarnation && r.Seq == was.Seq { // by a quicker way it is known to be younger
 			t.touch(r.Key)
-			for _, one := range [][2]*time.Duration{{&was.Onset, &r.Onset}, {&was.BadAt, &r.BadAt}, {&was.LateAt, &r.LateAt}, {&was.GoodAt, &r.GoodAt}} {
+			for _, one := range [][2]*time.Duration{{&was.Onset, &r.Onset}, {&was.BadAt, &r.BadAt}, {&was.LateAt, &r.LateAt}, {&was.GoodAt, &r.GoodAt}, {&was.PassedAt, &r.PassedAt}} {
 				*one[0] = max(*one[0], *one[1])
 			}
 		}
@@ -319,7 +319,7 @@
 
 // aged turns a record's times into ages.
 func aged(r Record, now time.Duration) Record {
-	for _, at := range []*time.Duration{&r.Onset, &r.BadAt, &r.LateAt, &r.GoodAt} {
+	for _, at := range []*time.Duration{&r.Onset, &r.BadAt, &r.LateAt, &r.GoodAt, &r.PassedAt} {
 		if *at == 0 {
 			*at = -1
 		} else {
@@ -412,15 +412,16 @@
 	}
 	slices.Sort(onsets)
 	if len(bad) > 0 {
-		// As many as it takes have sent from then on what was never answered: whoever has had any answer since speaks against them, also one that waits for the next. An answer from before
-		// says nothing of what came after it, and one that came within the least silence of then may be to what was sent before.
+		// As many as it takes have sent from then on what was never answered: whoever has had an answer since speaks against them, and so does one that waits for the next if that was to what it
+		// had sent since. Who misses answers and has had one within a usual time of then (a silence is four of them) to what it had sent before says nothing against: that was on its way as the
+		// server fell silent.
 		v.Since = onsets[max(len(onsets)-quorum, 0)]
-		if mutant != "crossed-answers" {
-			v.Since += t.Terms.Silence
-		}
 		bad, good = nil, nil
+		crossed := v.Since + t.Terms.Flush + t.Terms.Silence/4
 		for _, name := range names {
 			switch r := all[name]; {
+			case r.bad() && r.PassedAt <= v.Since+t.Terms.Flush && max(r.GoodAt, r.LateAt) <= crossed && mutant != "crossed-answers":
+				bad = append(bad, r)
 			case max(r.GoodAt, r.LateAt) > v.Since:
 				good = append(good, r)
 			case r.bad():
--- a/verdict/talk.go
+++ b/verdict/talk.go
@@ -29,7 +29,7 @@
 
 func write(r *Record) *verdictpb.Record {
 	return &verdictpb.Record{Observer: r.Observer, Zone: r.Zone, Incarnation: r.Incarnation, Seq: r.Seq, Server: r.Server, Started: int64(r.Started), Good: r.Good, Late: r.Late, Silent: r.Silent,
-		Refused: r.Refused, Full: r.Full, Slow: r.Slow, Onset: writeAge(r.Onset), Bad: writeAge(r.BadAt), LateAt: writeAge(r.LateAt), GoodAt: writeAge(r.GoodAt)}
+		Refused: r.Refused, Full: r.Full, Slow: r.Slow, Onset: writeAge(r.Onset), Bad: writeAge(r.BadAt), LateAt: writeAge(r.LateAt), GoodAt: writeAge(r.GoodAt), Passed: writeAge(r.PassedAt)}
 }
 
 // Write turns a frame into bytes.
@@ -54,7 +54,7 @@
 	f = Frame{Stamp: time.Duration(in.Stamp), Echo: time.Duration(in.Echo), Hold: time.Duration(in.Hold)}
 	for _, r := range in.Records {
 		f.Records = append(f.Records, Record{Observer: r.Observer, Zone: r.Zone, Incarnation: r.Incarnation, Seq: r.Seq, Key: Key{r.Server, time.Duration(r.Started)}, Good: r.Good, Late: r.Late, Silent: r.Silent,
-			Refused: r.Refused, Full: r.Full, Slow: r.Slow, Onset: readAge(r.Onset), BadAt: readAge(r.Bad), LateAt: readAge(r.LateAt), GoodAt: readAge(r.GoodAt)})
+			Refused: r.Refused, Full: r.Full, Slow: r.Slow, Onset: readAge(r.Onset), BadAt: readAge(r.Bad), LateAt: readAge(r.LateAt), GoodAt: readAge(r.GoodAt), PassedAt: readAge(r.Passed)})
 	}
 	return f, nil
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -81,6 +81,7 @@
 	BadAt                             time.Duration // when the last was missed or refused; Onset is when the first was sent since which nothing was answered
 	LateAt                            time.Duration
 	GoodAt                            time.Duration // when the last answer came, in time or turning away
+	PassedAt                          time.Duration // when the latest set-up that was answered had been sent
 }
 
 // newer says whether a record takes another's place. A restarted observer's do, whatever their number.
@@ -129,7 +130,7 @@
 	Sources    []string
 	Confidence float64       // part of the routers with an opinion that share it
 	Age        time.Duration // since the newest evidence that it rests on
-	Since      time.Duration // an answer that came later was to something sent after what enough routers miss: it speaks against them
+	Since      time.Duration // from then on enough routers have sent what was never answered
 	Until      time.Duration // of Held
 	Why        string        // of Held
 }
--- a/verdict/watch.go
+++ b/verdict/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -52,9 +53,8 @@
 type seen struct {
 	Server
 	Record
-	out    []attempt     // unanswered, in the order sent
-	passed time.Duration // when the latest that was answered was sent
-	usual  float64       // age of answers, in seconds
+	out    []attempt // unanswered, in the order sent
+	usual  float64   // age of answers, in seconds
 	faded  time.Duration
 	told   Record // as told last
 	toldAt time.Duration
@@ -186,7 +186,7 @@
 
 // alive ends a silence.
 func (s *seen) alive(a attempt) {
-	s.passed = max(s.passed, a.sent)
+	s.PassedAt = max(s.PassedAt, a.sent)
 	s.Onset, s.trying = 0, false
 }
 
@@ -199,7 +199,7 @@
 	s.fade(now)
 	switch how {
 	case Missed:
-		if !a.miss && a.sent > s.passed {
+		if !a.miss && a.sent > s.PassedAt {
 			s.missed(now, a, &s.Silent)
 		}
 		s.trying = false
@@ -261,7 +261,7 @@
 			if now-a.sent <= patience {
 				break
 			}
-			if a.sent <= s.passed {
+			if a.sent <= s.PassedAt {
 				continue
 			}
 			if !a.miss {
@@ -307,7 +307,7 @@
 		r.Seq, r.Zone = w.seq, w.Zone
 		s.told, s.toldAt = r, now
 		if mutant == "liar" {
-			r.BadAt, r.GoodAt, r.Onset = r.GoodAt, r.BadAt, max(r.GoodAt, 1)
+			r.BadAt, r.GoodAt, r.PassedAt, r.Onset = r.GoodAt, r.BadAt, r.BadAt, max(r.GoodAt, 1)
 		}
 		list = append(list, r)
 	}
@@ -349,6 +349,16 @@
 			barred[class]++
 		}
 	}
+	back := maps.Clone(barred)
+	for _, s := range w.order { // those that come back one after the other are left alone as well: what is too many with them comes back at once
+		if by[s.Server.Key] == nil && s.cared > now {
+			for _, class := range s.Classes {
+				if back[class]++; float64(back[class]) > w.Terms.Share*float64(w.total[class]) && mutant != "no-share" {
+					s.back = now
+				}
+			}
+		}
+	}
 	for _, s := range w.order {
 		v := by[s.Server.Key]
 		for _, class := range s.Classes {
