--- a/api.go
+++ b/api.go
@@ -289,4 +289,5 @@
 	OverLimit            // the same, for a limit of the whole fleet
 	SharedVerdict        // the proxies together have found it unfit
 	Spared               // sent to another for that
+	TakenOver            // what this proxy had in hand is another's now
 )
--- a/cmd/threadglade/fleet.go
+++ b/cmd/threadglade/fleet.go
@@ -83,6 +83,7 @@
 	addDrill(add)
 	addLimits(root)
 	addVerdicts(root)
+	addWork(root)
 	return root
 }
 
@@ -150,7 +151,7 @@
 	reports, errs := make([]*fleetpb.Report, len(o.Terms.Keepers)), make([]error, len(o.Terms.Keepers))
 	var all sync.WaitGroup
 	for i, name := range o.Terms.Keepers {
-		all.Go(func() { reports[i], errs[i] = fleetio.Inquire(ctx, o.Terms.Fleet, o.Addresses[name]) })
+		all.Go(func() { reports[i], errs[i] = fleetio.Inquire(ctx, o.Terms.Fleet, o.Addresses[name], "") })
 	}
 	all.Wait()
 	return reports, errs
--- a/cmd/threadglade/verdicts.go
+++ b/cmd/threadglade/verdicts.go
@@ -87,8 +87,28 @@
 	*verdictpb.Report
 }
 
-// askRouters asks all routers that live, or one.
+// askRouters asks all routers that live, or one, what they have found.
 func askRouters(ctx context.Context, path, at string) (list []said, mute []string, err error) {
+	reports, mute, err := askFleet(ctx, path, at, "")
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, r := range reports {
+		one := &verdictpb.Report{}
+		if r.Talk == nil || proto.Unmarshal(r.Talk, one) != nil {
+			mute = append(mute, r.Name+" (it judges alone)")
+			continue
+		}
+		list = append(list, said{r.Name, one})
+	}
+	if len(list) == 0 {
+		return nil, mute, exit{exitFinding, fmt.Errorf("no router that answers judges together with others: %s", strings.Join(mute, "; "))}
+	}
+	return list, mute, nil
+}
+
+// askFleet asks all routers that live, or one; find is a call to look for. Mute are those that do not answer.
+func askFleet(ctx context.Context, path, at, find string) (list []*fleetpb.Report, mute []string, err error) {
 	_, o, err := fleetSettings(path, "")
 	if err != nil {
 		return nil, nil, err
@@ -121,13 +141,7 @@
 			var r *fleetpb.Report
 			err := errors.New("no address")
 			if address[name] != "" {
-				r, err = fleetio.Inquire(ctx, o.Terms.Fleet, address[name])
-			}
-			one := &verdictpb.Report{}
-			if err == nil && r.Talk != nil {
-				err = proto.Unmarshal(r.Talk, one)
-			} else if err == nil {
-				err = errors.New("it judges alone")
+				r, err = fleetio.Inquire(ctx, o.Terms.Fleet, address[name], find)
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -135,15 +149,12 @@
 				mute = append(mute, fmt.Sprintf("%s (%v)", name, err))
 				return
 			}
-			list = append(list, said{r.Name, one})
+			list = append(list, r)
 		})
 	}
 	wg.Wait()
 	slices.Sort(mute)
-	slices.SortFunc(list, func(a, b said) int { return strings.Compare(a.router, b.router) })
-	if len(list) == 0 {
-		return nil, mute, exit{exitFinding, fmt.Errorf("no router that answers judges together with others: %s", strings.Join(mute, "; "))}
-	}
+	slices.SortFunc(list, func(a, b *fleetpb.Report) int { return strings.Compare(a.Name, b.Name) })
 	return list, mute, nil
 }
 
--- /dev/null
+++ b/cmd/threadglade/work.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/proto"
+
+	"threadglade.example/threadglade/takeover/takeoverpb"
+)
+
+// addWork adds what operators see of work in hand.
+func addWork(root *cobra.Command) {
+	var path, at string
+	var asJSON, watch bool
+	group := &cobra.Command{Use: "work --settings FILE", Short: "Who holds whose work in hand, how far confirmed, and what was taken over", Args: cobra.NoArgs}
+	root.AddCommand(group)
+	add := tools(group, "")
+	group.PersistentFlags().StringVar(&path, "settings", "", "file of the product's own settings, with a (fleet ...) section")
+	group.MarkPersistentFlagRequired("settings")
+	group.PersistentFlags().StringVar(&at, "at", "", "ask this router alone, by its name or address; works without any keeper where it is an address")
+	group.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	group.Flags().BoolVar(&watch, "watch", false, "each second, until interrupted")
+	group.RunE = func(cmd *cobra.Command, _ []string) error {
+		for {
+			err := showWork(cmd.Context(), cmd.OutOrStdout(), path, at, asJSON)
+			var e exit
+			if err != nil && !errors.As(err, &e) {
+				err = exit{exitFinding, err}
+			}
+			if !watch {
+				return err
+			}
+			time.Sleep(time.Second)
+		}
+	}
+	add(&cobra.Command{Use: "find CALL", Short: "Who has a call in hand, who holds it for whom, who has taken it over", Args: cobra.ExactArgs(1)},
+		func(cmd *cobra.Command, args []string) error {
+			list, mute, err := askWork(cmd.Context(), path, at, args[0])
+			if err != nil {
+				return err
+			}
+			found := false
+			for _, r := range list {
+				for _, where := range r.Found {
+					found = true
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: %s\n", r.name, where)
+				}
+			}
+			if len(mute) > 0 {
+				fmt.Fprintf(cmd.OutOrStdout(), "no answer: %s\n", strings.Join(mute, "; "))
+			}
+			if !found {
+				return exit{exitFinding, fmt.Errorf("no router that answers knows of call %s", args[0])}
+			}
+			return nil
+		})
+}
+
+// worked is what one router says.
+type worked struct {
+	name string
+	*takeoverpb.Report
+}
+
+func askWork(ctx context.Context, path, at, find string) (list []worked, mute []string, err error) {
+	reports, mute, err := askFleet(ctx, path, at, find)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, r := range reports {
+		one := &takeoverpb.Report{}
+		if r.Work == nil || proto.Unmarshal(r.Work, one) != nil {
+			mute = append(mute, r.Name+" (its work is held by nobody)")
+			continue
+		}
+		list = append(list, worked{r.Name, one})
+	}
+	if len(list) == 0 {
+		return nil, mute, exit{exitFinding, fmt.Errorf("no router that answers has its work held by others: %s", strings.Join(mute, "; "))}
+	}
+	return list, mute, nil
+}
+
+func showWork(ctx context.Context, w io.Writer, path, at string, asJSON bool) error {
+	list, mute, err := askWork(ctx, path, at, "")
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		out := map[string]any{"mute": mute}
+		for _, r := range list {
+			out[r.name] = r.Report
+		}
+		return json.NewEncoder(w).Encode(out)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "router\tincarnation\tin hand\trecords\tconfirmed\theld by\tholds for\ttaken from\t")
+	for _, r := range list {
+		by, held, taken := []string{}, []string{}, []string{}
+		for _, h := range r.Holders {
+			by = append(by, fmt.Sprintf("%s (%d behind)", h.Name, r.Number-min(h.Number, r.Number)))
+		}
+		for _, h := range r.Held {
+			text := fmt.Sprintf("%s.%d: %d", h.Name, h.Incarnation, h.Calls)
+			if h.Heir != "" {
+				text += ", goes to " + h.Heir
+			}
+			held = append(held, text)
+		}
+		for _, h := range r.Taken {
+			taken = append(taken, fmt.Sprintf("%s.%d: %d", h.Name, h.Incarnation, h.Calls))
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t\n", r.name, r.Incarnation, r.Calls, r.Number, r.Confirmed, strings.Join(by, ", "), strings.Join(held, "; "), strings.Join(taken, "; "))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range list {
+		c := r.Counts
+		if c["hurried"]+c["alone"]+c["missed"]+c["lost"]+c["full"] > 0 {
+			fmt.Fprintf(w, "%s: %d turns did not wait for a holder, %d had none, %d records were dropped, %d calls lost, %d times a copy had no room\n", r.name, c["hurried"], c["alone"], c["missed"], c["lost"], c["full"])
+		}
+	}
+	if len(mute) > 0 {
+		fmt.Fprintf(w, "no answer: %s\n", strings.Join(mute, "; "))
+	}
+	return nil
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -26,7 +26,7 @@
 		m := NewMachine(&fleetpb.State{Fleet: "f"})
 		var copied *Machine
 		known := NewMachine(&fleetpb.State{Fleet: "f"})
-		names := rapid.SampledFrom([]string{"r1", "r2", "r3"})
+		names := rapid.SampledFrom([]string{"r1", "r2", "r3", "r4"})
 		given := map[uint64]string{}
 		var entries []*fleetpb.Entry
 		for index := uint64(1); index <= uint64(rapid.IntRange(1, 60).Draw(t, "n")); index++ {
@@ -35,7 +35,7 @@
 			e := &fleetpb.Entry{Id: uint64(rapid.IntRange(1, 1000).Draw(t, "id"))}
 			switch rapid.IntRange(0, 3).Draw(t, "kind") {
 			case 0:
-				e.What = &fleetpb.Entry_Begin{Begin: &fleetpb.Begin{Name: name, Process: uint64(rapid.IntRange(1, 3).Draw(t, "process")), After: m.Member(name).GetIncarnation()}}
+				e.What = &fleetpb.Entry_Begin{Begin: &fleetpb.Begin{Name: name, Process: uint64(rapid.IntRange(1, 3).Draw(t, "process")), Address: "a", Zone: rapid.SampledFrom([]string{"", "z1", "z2"}).Draw(t, "zone"), After: m.Member(name).GetIncarnation()}}
 			case 1:
 				e.What = &fleetpb.Entry_End{End: &fleetpb.End{Name: name, Incarnation: number}}
 			case 2:
@@ -70,6 +70,16 @@
 				require.Equal(t, fenced, result == 0)
 				require.Equal(t, fenced, m.Fact("a").GetVersion() == fact)
 			}
+			for _, one := range m.Members() { // whoever is an heir lives, by that incarnation, and is another
+				for _, p := range append(one.Past, &fleetpb.Past{Incarnation: one.Incarnation, Heir: one.Heir, HeirIncarnation: one.HeirIncarnation}) {
+					if p.Heir != "" {
+						require.False(t, m.Over(p.Heir, p.HeirIncarnation), "the heir of %s.%d is over", one.Name, p.Incarnation)
+						heir, number, over := m.HeirOf(one.Name, p.Incarnation)
+						require.True(t, over && heir == p.Heir && number == p.HeirIncarnation)
+					}
+				}
+				require.False(t, one.Live && one.Heir != "")
+			}
 			if copied == nil && rapid.IntRange(0, 9).Draw(t, "copy") == 0 {
 				b, err := proto.Marshal(m.State())
 				require.NoError(t, err)
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -1,9 +1,13 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
+	"github.com/zeebo/xxh3"
+	"google.golang.org/protobuf/proto"
+
 	"threadglade.example/threadglade/fleet/fleetpb"
 )
 
@@ -15,6 +19,7 @@
 	KeyMost     = 128  // bytes of a fact's key
 	ValueMost   = 1024 // and of its value
 	doneMost    = 4096 // proposals remembered
+	pastMost    = 4    // incarnations of a name before the present one
 	changesMost = 4096 // changes kept for members that were away for a moment
 )
 
@@ -128,7 +133,12 @@
 		return 0
 	}
 	m.Incarnations++
-	m.change(&fleetpb.Member{Name: b.Name, Incarnation: m.Incarnations, Process: b.Process, Live: true, Address: b.Address, Zone: b.Zone}, nil)
+	var past []*fleetpb.Past
+	if was != nil {
+		past = append(slices.Clone(was.Past), &fleetpb.Past{Incarnation: was.Incarnation, Heir: was.Heir, HeirIncarnation: was.HeirIncarnation})
+		past = past[max(0, len(past)-pastMost):]
+	}
+	m.change(&fleetpb.Member{Name: b.Name, Incarnation: m.Incarnations, Process: b.Process, Live: true, Address: b.Address, Zone: b.Zone, Past: past}, nil)
 	return m.Incarnations
 }
 
@@ -151,10 +161,87 @@
 	if !was.GetLive() || was.Incarnation != e.Incarnation {
 		return 0
 	}
-	m.change(&fleetpb.Member{Name: was.Name, Incarnation: was.Incarnation, Process: was.Process, Left: e.Left, Address: was.Address, Zone: was.Zone}, nil)
+	over := proto.CloneOf(was)
+	over.Live, over.Left = false, e.Left
+	if list := Heirs(was.Name, was.Zone, m.Members(), 1); len(list) > 0 {
+		over.Heir, over.HeirIncarnation = list[0].Name, list[0].Incarnation
+	}
+	m.change(over, nil)
+	if mutant != "heir-alone" {
+		m.pass(over)
+	}
 	return was.Incarnation
 }
 
+// pass gives all that an incarnation which is over was heir of to its own heir.
+func (m *Machine) pass(over *fleetpb.Member) {
+	for _, one := range m.Members() {
+		next := proto.CloneOf(one)
+		mine := !one.Live && one.Heir == over.Name && one.HeirIncarnation == over.Incarnation
+		if mine {
+			next.Heir, next.HeirIncarnation = over.Heir, over.HeirIncarnation
+		}
+		for _, p := range next.Past {
+			if p.Heir == over.Name && p.HeirIncarnation == over.Incarnation {
+				p.Heir, p.HeirIncarnation, mine = over.Heir, over.HeirIncarnation, true
+			}
+		}
+		if mine {
+			m.change(next, nil)
+		}
+	}
+}
+
+// Heirs are who takes a router's place, the first of so many: of the others that live and can be reached, those in other zones first where there are zones, by rendezvous of names, so that
+// few change as members come and go.
+func Heirs(name, zone string, members []*fleetpb.Member, n int) []*fleetpb.Member {
+	type candidate struct {
+		*fleetpb.Member
+		far    bool
+		weight uint64
+	}
+	var list []candidate
+	for _, one := range members {
+		if one.Live && one.Address != "" && one.Name != name {
+			list = append(list, candidate{one, zone == "" || one.Zone != zone, xxh3.HashString(one.Name + "\x00" + name)})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		switch {
+		case a.far != b.far && a.far:
+			return -1
+		case a.far != b.far:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
+	})
+	var out []*fleetpb.Member
+	for _, one := range list[:min(n, len(list))] {
+		out = append(out, one.Member)
+	}
+	return out
+}
+
+// HeirOf is who has taken the place of an incarnation that is over; over is false while it lives, or where the log has forgotten it.
+func (m *Machine) HeirOf(name string, incarnation uint64) (heir string, number uint64, over bool) {
+	one := m.members[name]
+	if one.GetIncarnation() == incarnation && one != nil {
+		return one.Heir, one.HeirIncarnation, !one.Live
+	}
+	for _, p := range one.GetPast() {
+		if p.Incarnation == incarnation {
+			return p.Heir, p.HeirIncarnation, true
+		}
+	}
+	return "", 0, false
+}
+
+// Over says whether an incarnation is over, as far as the machine has heard.
+func (m *Machine) Over(name string, incarnation uint64) bool {
+	one := m.members[name]
+	return one != nil && (one.Incarnation > incarnation || one.Incarnation == incarnation && !one.Live)
+}
+
 // put refuses whoever is fenced off: an incarnation that is over writes nothing any more.
 func (m *Machine) put(p *fleetpb.Put) uint64 {
 	was := m.facts[p.Key]
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -278,9 +278,7 @@
 		was := m.Machine
 		m.Machine = NewMachine(w.State)
 		for _, one := range m.Machine.Members() {
-			if before := was.Member(one.Name); before.GetIncarnation() != one.Incarnation || before.GetLive() != one.Live {
-				m.tell(one)
-			}
+			m.tell(was.Member(one.Name), one)
 		}
 		for _, f := range w.State.Facts {
 			if was.Fact(f.Key).GetVersion() != f.Version {
@@ -288,14 +286,19 @@
 			}
 		}
 	case w.State == nil && w.Base <= m.Machine.Index:
+		known := m.Machine.Index // one entry may have changed several members
 		for _, c := range w.Changes {
-			if c.Index <= m.Machine.Index {
+			if c.Index <= known {
 				continue
 			}
+			var before *fleetpb.Member
+			if c.Member != nil {
+				before = m.Machine.Member(c.Member.Name)
+			}
 			m.Machine.Index = c.Index
 			m.Machine.change(c.Member, c.Fact)
 			if c.Member != nil {
-				m.tell(c.Member)
+				m.tell(before, c.Member)
 			}
 			if c.Fact != nil {
 				m.notes = append(m.notes, written(c.Fact))
@@ -309,7 +312,13 @@
 	return Note{Kind: Written, Name: f.Key, Number: f.Version, Value: f.Value, Incarnation: f.Incarnation}
 }
 
-func (m *Member) tell(one *fleetpb.Member) {
+func (m *Member) tell(before, one *fleetpb.Member) {
+	if before.GetIncarnation() == one.Incarnation && before.GetLive() == one.Live {
+		if before.GetHeir() != one.Heir || before.GetHeirIncarnation() != one.HeirIncarnation {
+			m.notes = append(m.notes, Note{Kind: Passed, Name: one.Name, Incarnation: one.Incarnation, Text: one.Heir})
+		}
+		return
+	}
 	if one.Name == m.Name && one.Process == m.Process {
 		if !one.Live && one.Incarnation == m.lease.Incarnation && !m.left {
 			m.notes = append(m.notes, Note{Kind: Ended, Name: m.Name, Incarnation: one.Incarnation})
@@ -321,6 +330,7 @@
 	}
 	n := Note{Kind: Began, Name: one.Name, Incarnation: one.Incarnation}
 	if !one.Live {
+		n.Text = one.Heir
 		if n.Kind = Lost; one.Left {
 			n.Kind = Left
 		}
--- a/internal/drill/judge.go
+++ b/internal/drill/judge.go
@@ -199,6 +199,10 @@
 	case "sent-most", "carries":
 		from, to := within(h.Args[1], h.Args[2])
 		return s.sentTo(r, h, from, to)
+	case "billed-once":
+		return s.billedOnce(r, count(h.Args[0]))
+	case "released-once":
+		return s.releasedOnce(r, count(h.Args[0]))
 	case "stood-within":
 		from, to := within(h.Args[0], h.Args[1])
 		tried, stood := 0, 0
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -326,6 +326,11 @@
 		}
 	}
 	for _, id := range s.order {
+		if id[0] == 'r' { // what an earlier run has left is none of this one's
+			if err := os.RemoveAll(s.procs[id].dir); err != nil {
+				return err
+			}
+		}
 		if err := s.settings(s.procs[id]); err != nil {
 			return err
 		}
@@ -530,7 +535,7 @@
 func (s *stage) call(ctx context.Context) {
 	var turn atomic.Uint64
 	// A router takes 400 set-ups a second from one connection: who redials wants more of them.
-	s.load = standin.StartLoad(ctx, standin.LoadConfig{Connections: (2 + min(s.plan.Redials, 6)) * s.plan.Routers, Seed: uint64(s.plan.Seed), Rate: float64(s.plan.Load), Classes: []string{"voice", "data"}, Redials: s.plan.Redials, RedialIn: time.Second, Firsts: true,
+	s.load = standin.StartLoad(ctx, standin.LoadConfig{Connections: (2 + min(s.plan.Redials, 6)) * s.plan.Routers, Seed: uint64(s.plan.Seed), Rate: float64(s.plan.Load), Classes: []string{"voice", "data"}, Redials: s.plan.Redials, RedialIn: time.Second, Firsts: true, Record: true,
 		Numbers: s.plan.Numbers, Servers: s.plan.Servers,
 		Target: func() string {
 			s.mu.Lock()
--- a/internal/fleetio/fleet.go
+++ b/internal/fleetio/fleet.go
@@ -24,6 +24,8 @@
 	"threadglade.example/threadglade/fleet/fleetpb"
 	"threadglade.example/threadglade/internal/durable"
 	"threadglade.example/threadglade/quota"
+	"threadglade.example/threadglade/router"
+	"threadglade.example/threadglade/takeover"
 	"threadglade.example/threadglade/verdict"
 )
 
@@ -45,8 +47,19 @@
 	Further func(lend func(left int) (lent int, limited bool))
 	// Care hears, on the loop, of a server that is to be left alone for what all routers know, and for how long from now; 0: no more. Now is the clock that the times of
 	// Sent, Answered and AttemptEnded are on.
-	Care   func(c verdict.Care, hold time.Duration)
-	Now    func() time.Duration
+	Care func(c verdict.Care, hold time.Duration)
+	Now  func() time.Duration
+	// Work in hand, all on the loop: Cease lets go of all of it; Adopt books a call taken over, false where it is in the books; Drop takes one out again; Ended hears the end of one that was heard
+	// elsewhere, and whether the call was taken over; Renew has servers tell what they have to; Taken names calls of before that others have, and Awake says that no more are.
+	Cease  func()
+	Adopt  func(takeover.Call) bool
+	Drop   func(id string)
+	Ended  func(e takeover.End, taken bool)
+	Renew  func()
+	Taken  func(ids []string)
+	Awake  func()
+	Tenant func(router.Event) string // whose call it is
+	Aim    func(class string) time.Duration
 	Limits []quota.Limit // of the settings; nil: this process divides and holds none
 }
 
@@ -80,8 +93,10 @@
 	lease  atomic.Pointer[fleet.Lease]
 	notes  *xsync.SPSCQueue[fleet.Note]
 	shares *xsync.SPSCQueue[shares]
-	gate   *gate // nil: no limits
-	talk   *talk // nil: no verdicts
+	gate   *gate                         // nil: no limits
+	talk   *talk                         // nil: no verdicts
+	work   *work                         // nil: nobody else has what is in hand
+	dials  map[string]context.CancelFunc // of the core: links to other routers, by name and address
 
 	// Of the loop.
 	beacon  *net.UDPConn
@@ -95,7 +110,7 @@
 // Open starts a process's part. A keeper whose folder is missing or damaged is an error, and nothing has started.
 func Open(cfg Config) (*Fleet, error) {
 	f := &Fleet{cfg: cfg, stop: make(chan struct{}), core: make(chan struct{}), inbox: make(chan event, inboxMost), tasks: make(chan func(time.Duration), 64),
-		links: xsync.NewMap[fleet.Link, *link](), peers: map[uint64]*link{}, notes: xsync.NewSPSCQueue[fleet.Note](notesMost)}
+		links: xsync.NewMap[fleet.Link, *link](), peers: map[uint64]*link{}, notes: xsync.NewSPSCQueue[fleet.Note](notesMost), dials: map[string]context.CancelFunc{}}
 	if f.cfg.Wake == nil {
 		f.cfg.Wake = func() {}
 	}
@@ -132,6 +147,9 @@
 	if cfg.Verdicts != nil && f.member != nil {
 		f.openTalk(now)
 	}
+	if cfg.Work != nil && f.member != nil {
+		f.openWork(now)
+	}
 	if cfg.Beacon.IsValid() {
 		var err error
 		if f.beacon, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(cfg.Beacon)); err == nil {
@@ -141,7 +159,7 @@
 			return nil, fmt.Errorf("fleet: beacon: %w", err)
 		}
 	}
-	if f.keeper != nil || f.talk != nil && cfg.Listen != "" {
+	if f.keeper != nil || (f.talk != nil || f.work != nil) && cfg.Listen != "" {
 		listen := cfg.Listen
 		if listen == "" {
 			listen = cfg.Addresses[cfg.Name]
@@ -218,6 +236,10 @@
 	defer close(f.core)
 	tick := time.NewTimer(fleet.TickEvery)
 	defer tick.Stop()
+	var poke chan struct{}
+	if f.work != nil {
+		poke = f.work.poke
+	}
 	for {
 		wait := fleet.TickEvery
 		if f.keeper == nil { // a router alone wakes only for what is due
@@ -226,6 +248,9 @@
 		if f.talk != nil {
 			wait = min(wait, max(f.talk.table.Due()-Clock(), time.Millisecond))
 		}
+		if f.work != nil {
+			wait = min(wait, max(f.worksDue(Clock())-Clock(), time.Millisecond))
+		}
 		tick.Reset(wait)
 		select {
 		case <-f.stop:
@@ -243,6 +268,7 @@
 			}
 		case task := <-f.tasks:
 			task(Clock())
+		case <-poke:
 		case <-tick.C:
 		}
 		now := Clock()
@@ -255,6 +281,9 @@
 		if f.talk != nil {
 			f.converse(now)
 		}
+		if f.work != nil {
+			f.labour(now)
+		}
 		f.drive()
 	}
 }
@@ -285,7 +314,7 @@
 	case e.out: // another keeper says nothing on a link that it did not dial
 	case f.keeper == nil && (e.gone || e.frame == nil):
 	case f.keeper == nil && e.frame.GetInquiry() != nil:
-		f.send(l, &fleetpb.Frame{What: &fleetpb.Frame_Report{Report: f.report(now, &fleetpb.Report{Seq: e.frame.GetInquiry().Seq, Name: f.cfg.Name})}})
+		f.send(l, &fleetpb.Frame{What: &fleetpb.Frame_Report{Report: f.report(now, e.frame.GetInquiry().Find, &fleetpb.Report{Seq: e.frame.GetInquiry().Seq, Name: f.cfg.Name})}})
 	case f.keeper == nil:
 		f.refused(fmt.Sprintf("%s: this process keeps nothing", l.name))
 		l.cut()
@@ -303,7 +332,7 @@
 	case !l.peer && l.name != "" && e.frame.GetAsk() != nil:
 		f.keeper.Ask(now, l.id, l.name, e.frame.GetAsk())
 	case e.frame.GetInquiry() != nil:
-		f.send(l, &fleetpb.Frame{What: &fleetpb.Frame_Report{Report: f.report(now, f.keeper.Report(e.frame.GetInquiry().Seq))}})
+		f.send(l, &fleetpb.Frame{What: &fleetpb.Frame_Report{Report: f.report(now, e.frame.GetInquiry().Find, f.keeper.Report(e.frame.GetInquiry().Seq))}})
 	default:
 		f.refused(fmt.Sprintf("%s: a frame that is not its to send", l.name))
 		l.cut()
@@ -311,11 +340,14 @@
 }
 
 // report completes what an operator is told.
-func (f *Fleet) report(now time.Duration, r *fleetpb.Report) *fleetpb.Report {
+func (f *Fleet) report(now time.Duration, find string, r *fleetpb.Report) *fleetpb.Report {
 	r.Sent, r.Received, r.Refused, r.Dropped = f.count.Sent.Load(), f.count.Received.Load(), f.count.Refused.Load(), f.count.Dropped.Load()
 	if f.talk != nil {
 		r.Talk = f.talk.report(now)
 	}
+	if f.work != nil {
+		r.Work = f.reportWork(now, find)
+	}
 	return r
 }
 
@@ -381,6 +413,9 @@
 		if f.talk != nil {
 			f.noted(n)
 		}
+		if f.work != nil {
+			f.worked(Clock(), n)
+		}
 		if f.member != nil && !f.notes.TryEnqueue(n) {
 			f.count.Missed.Add(1)
 		}
@@ -411,7 +446,7 @@
 		l.Info().Str("event", "fleet_follows").Uint64("term", n.Number).Msgf("fleet: %s leads no more, term %d", n.Name, n.Number)
 	case fleet.Halted:
 		l.Error().Str("event", "fleet_halted").Str("why", n.Text).Msgf("fleet: keeper %s has stopped for good, its disk failed: %s", n.Name, n.Text)
-	case fleet.Began, fleet.Left, fleet.Written:
+	case fleet.Began, fleet.Left, fleet.Passed, fleet.Written:
 		l.Debug().Str("event", "fleet_"+n.Kind.String()).Str("name", n.Name).Uint64("incarnation", n.Incarnation).Uint64("number", n.Number).Msgf("fleet: %s %s", n.Name, n.Kind)
 	}
 }
@@ -436,12 +471,15 @@
 			f.cfg.Facts(n)
 		}
 	}
-	if f.gate == nil && f.beacon == nil && f.talk == nil { // nothing that needs a look at the clock
+	if f.gate == nil && f.beacon == nil && f.talk == nil && f.work == nil { // nothing that needs a look at the clock
 		return time.Hour
 	}
 	wait, now := time.Hour, Clock()
+	if f.work != nil {
+		wait = f.toil(now)
+	}
 	if f.gate != nil {
-		wait = f.turn(now)
+		wait = min(wait, f.turn(now))
 	}
 	if f.talk != nil {
 		wait = min(wait, f.heed(now))
@@ -501,6 +539,10 @@
 	if f.gate != nil {
 		more = fmt.Sprintf(" Limits:%+v", f.gate.Count)
 	}
+	if f.work != nil {
+		c := &f.work.count
+		more += fmt.Sprintf(" Work:{Records:%d Dropped:%d Hurried:%d Alone:%d Ceased:%d Missed:%d}", f.work.giver.Count.Records, f.work.giver.Count.Dropped, c.Hurried.Load(), c.Alone.Load(), c.Ceased.Load(), c.Missed.Load())
+	}
 	if f.talk != nil {
 		more += fmt.Sprintf(" Verdicts:%+v", f.talk.watch.Count)
 	}
@@ -513,7 +555,13 @@
 	left := make(chan struct{})
 	if f.member != nil {
 		select {
-		case f.tasks <- func(now time.Duration) { f.member.Leave(now); close(left) }:
+		case f.tasks <- func(now time.Duration) {
+			if f.work != nil {
+				f.leaveWork(now)
+			}
+			f.member.Leave(now)
+			close(left)
+		}:
 			select {
 			case <-left:
 				time.Sleep(100 * time.Millisecond) // for the word to go out
--- a/internal/fleetio/links.go
+++ b/internal/fleetio/links.go
@@ -316,9 +316,9 @@
 	return err
 }
 
-// Inquire asks a keeper how the fleet stands, as an operator.
-func Inquire(ctx context.Context, fleetName, addr string) (r *fleetpb.Report, err error) {
-	err = operate(ctx, fleetName, addr, &fleetpb.Frame{What: &fleetpb.Frame_Inquiry{Inquiry: &fleetpb.Inquiry{Seq: 1}}}, func(f *fleetpb.Frame) bool {
+// Inquire asks a keeper how the fleet stands, or a router what it knows, of a call too, as an operator.
+func Inquire(ctx context.Context, fleetName, addr, find string) (r *fleetpb.Report, err error) {
+	err = operate(ctx, fleetName, addr, &fleetpb.Frame{What: &fleetpb.Frame_Inquiry{Inquiry: &fleetpb.Inquiry{Seq: 1, Find: find}}}, func(f *fleetpb.Frame) bool {
 		r = f.GetReport()
 		return r != nil
 	})
--- a/internal/fleetio/settings.go
+++ b/internal/fleetio/settings.go
@@ -8,6 +8,7 @@
 
 	"threadglade.example/threadglade/fleet"
 	"threadglade.example/threadglade/internal/settings"
+	"threadglade.example/threadglade/takeover"
 	"threadglade.example/threadglade/verdict"
 )
 
@@ -21,6 +22,7 @@
 	Zone      string            // of this process
 	Reach     map[string]string // routers that this process reaches elsewhere than at their addresses
 	Verdicts  *verdict.Terms    // nil: routers judge alone
+	Work      *takeover.Terms   // nil: nobody else has what is in hand
 	Beacon    netip.AddrPort    // who hears what this process acts as; the zero value: nobody
 	Every     time.Duration     // how often
 	Roll      int64             // size in bytes at which a keeper begins a new file
--- a/internal/fleetio/verdicts.go
+++ b/internal/fleetio/verdicts.go
@@ -1,7 +1,6 @@
 package fleetio
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"strconv"
@@ -38,8 +37,7 @@
 	// Of the core.
 	table *verdict.Table
 	links map[string]*link // open, to neighbours, by name
-	dials map[string]context.CancelFunc
-	at    time.Duration // when it concluded last
+	at    time.Duration    // when it concluded last
 	held  map[string]held
 	// Between them.
 	concluded atomic.Pointer[concluded]
@@ -61,7 +59,7 @@
 }
 
 func (f *Fleet) openTalk(now time.Duration) {
-	t := &talk{watch: verdict.NewWatch(*f.cfg.Verdicts, f.cfg.Zone, f.process), table: verdict.NewTable(*f.cfg.Verdicts, f.cfg.Name), links: map[string]*link{}, dials: map[string]context.CancelFunc{}, held: map[string]held{}}
+	t := &talk{watch: verdict.NewWatch(*f.cfg.Verdicts, f.cfg.Zone, f.process), table: verdict.NewTable(*f.cfg.Verdicts, f.cfg.Name), links: map[string]*link{}, held: map[string]held{}}
 	t.concluded.Store(&concluded{others: 1})
 	t.heeded.Store(&map[verdict.Key]bool{})
 	f.talk = t
@@ -87,39 +85,28 @@
 
 // neighbours keeps links to whom this router should have them to.
 func (f *Fleet) neighbours() {
+	if f.talk == nil {
+		f.reach(f.worksWith())
+		return
+	}
 	t := f.talk
 	var names []string
 	var members []verdict.Member
-	address := map[string]string{}
 	for _, m := range f.member.Machine.Members() {
 		if !m.Live {
 			continue
 		}
 		members = append(members, verdict.Member{Name: m.Name, Zone: m.Zone})
-		if at := f.cfg.Reach[m.Name]; at != "" || m.Address != "" {
-			if address[m.Name] = at; at == "" {
-				address[m.Name] = m.Address
-			}
+		if f.cfg.Reach[m.Name] != "" || m.Address != "" {
 			names = append(names, m.Name)
 		}
 	}
 	t.table.Members(members)
-	want := map[string]bool{}
-	for _, name := range verdict.Neighbours(f.cfg.Name, names) {
-		want[name+" "+address[name]] = true
-		if t.dials[name+" "+address[name]] == nil {
-			ctx, stop := context.WithCancel(f.ctx)
-			t.dials[name+" "+address[name]] = stop
-			f.done.Add(1)
-			go f.follow(ctx, name, address[name], talks)
-		}
-	}
-	for key, stop := range t.dials {
-		if !want[key] {
-			stop()
-			delete(t.dials, key)
-		}
+	names = verdict.Neighbours(f.cfg.Name, names)
+	if f.work != nil {
+		names = append(names, f.worksWith()...)
 	}
+	f.reach(names)
 }
 
 // word takes an operator's: it holds until its end by the wall clock, and no longer than it was said to from when it was heard, so that a clock that is wrong cannot keep it.
@@ -148,21 +135,31 @@
 	return Word(who, why, d.String()+" "+strconv.FormatInt(now.Add(d).UnixMilli(), 10))
 }
 
-// talked takes what a link to a neighbour brings.
+// talked takes what a link to another router brings.
 func (f *Fleet) talked(now time.Duration, e event) {
 	t, l := f.talk, e.link
 	switch {
-	case t == nil || !f.cfg.Terms.Listed(l.name):
+	case t == nil && f.work == nil || !f.cfg.Terms.Listed(l.name):
 		l.cut()
 	case e.gone:
-		if t.links[l.name] == l {
+		if f.work != nil {
+			f.linkedWork(l, false)
+		}
+		if t != nil && t.links[l.name] == l {
 			delete(t.links, l.name)
 			t.table.Unlinked(l.name)
 		}
 	case e.frame == nil: // the latest of two links between neighbours is used by this side; what comes on either is heard
-		t.links[l.name] = l
-		t.table.Linked(now, l.name)
-	case e.frame.GetTalk() != nil:
+		if f.work != nil {
+			f.linkedWork(l, true)
+		}
+		if t != nil {
+			t.links[l.name] = l
+			t.table.Linked(now, l.name)
+		}
+	case e.frame.GetWork() != nil:
+		f.hearWork(now, l, e.frame.GetWork())
+	case e.frame.GetTalk() != nil && t != nil:
 		frame, err := verdict.Read(e.frame.GetTalk())
 		if err != nil {
 			f.refused(l.name + ": " + err.Error())
@@ -170,6 +167,7 @@
 			return
 		}
 		t.table.Heard(now, l.name, frame)
+	case e.frame.GetTalk() != nil: // verdicts are off here
 	default:
 		f.refused(l.name + ": a frame that is not its to send")
 		l.cut()
--- /dev/null
+++ b/internal/fleetio/work.go
@@ -0,0 +1,529 @@
+package fleetio
+
+import (
+	"context"
+	"maps"
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/puzpuzpuz/xsync/v4"
+	"google.golang.org/protobuf/proto"
+
+	"threadglade.example/threadglade/fleet"
+	"threadglade.example/threadglade/fleet/fleetpb"
+	"threadglade.example/threadglade/internal/loop"
+	"threadglade.example/threadglade/internal/settings"
+	"threadglade.example/threadglade/takeover"
+	"threadglade.example/threadglade/takeover/takeoverpb"
+	"threadglade.example/threadglade/verdict"
+)
+
+// Work in hand: the carrier of package takeover. Records go from the loop to the core by a bounded queue, what is to be taken comes back by another; between routers they go by the links that
+// verdicts use, too.
+
+const (
+	workMost  = 1024    // batches of records, and lists of acts, that wait between loop and core
+	heardMost = 1 << 14 // ends of unknown calls
+	// waitMost turns' bytes wait for holders; beyond, they leave.
+	waitMost = 4096
+)
+
+// ReadTakeover reads a (takeover ...) section; docs/operators/takeover.md has every field.
+func ReadTakeover(s *settings.Section, o *Options) *takeover.Terms {
+	t := takeover.DefaultTerms()
+	t.Drift, t.Vouch = o.Terms.Drift, o.Terms.Lease
+	s.Int("holders", &t.Holders, 1, 4)
+	s.Span("vouch", &t.Vouch, 200*time.Millisecond, time.Minute)
+	s.Span("patience", &t.Patience, time.Millisecond, time.Second)
+	s.Span("remember", &t.Remember, time.Second, 10*time.Minute)
+	s.Span("wake", &t.Wake, time.Second, 10*time.Minute)
+	mode := "kept"
+	s.Choice("mode", &mode, "kept", "fast")
+	t.Fast = map[string]bool{}
+	for _, class := range s.Strings("fast") {
+		t.Fast[class] = true
+	}
+	t.AllFast = mode == "fast"
+	if err := t.Validate(); err != nil {
+		s.Errorf("", "%v", err)
+	}
+	if o.Listen == "" {
+		s.Errorf("", "work is held by routers that others reach: (listen ...) in (fleet ...) is missing")
+	}
+	return &t
+}
+
+// batch is the records of one turn.
+type batch struct {
+	first   uint64
+	records []takeover.Record
+}
+
+// work is a router's part between the loop and the core.
+type work struct {
+	terms takeover.Terms
+	// Of the loop.
+	giver   *takeover.Giver
+	ceased  bool
+	waiting []ticket
+	ticket  uint64
+	mine    map[string]bool // calls taken over that have not ended
+	// Of the core.
+	owner  *takeover.Owner
+	holder *takeover.Holder
+	began  time.Duration // when this incarnation did
+	woken  bool
+	left   bool
+	all    map[string][]*link
+	links  map[string]*link // of them, the one that is used
+	up     map[string]bool
+	// Between them.
+	records *xsync.SPSCQueue[batch]
+	acts    *xsync.SPSCQueue[takeover.Acts]
+	heard   *xsync.SPSCQueue[takeover.End] // by the loop
+	vouched atomic.Int64                   // until when all holders vouch
+	upto    atomic.Uint64
+	linked  atomic.Bool // to any other router
+	poke    chan struct{}
+	woke    atomic.Pointer[[]string] // what was taken from this router; taken by the loop
+	awake   atomic.Bool              // no more was
+	count   struct{ Hurried, Alone, Ceased, Missed atomic.Uint64 }
+}
+
+// ticket is one turn's bytes: they may leave once the inner gate has let them, and a holder has the record.
+type ticket struct {
+	inner, record uint64
+	since         time.Duration
+}
+
+func (f *Fleet) openWork(now time.Duration) {
+	w := &work{terms: *f.cfg.Work, giver: &takeover.Giver{Terms: *f.cfg.Work, Wall: func() int64 { return time.Now().UnixMilli() }}, owner: takeover.NewOwner(*f.cfg.Work, f.cfg.Name), all: map[string][]*link{}, links: map[string]*link{}, up: map[string]bool{},
+		records: xsync.NewSPSCQueue[batch](workMost), acts: xsync.NewSPSCQueue[takeover.Acts](workMost), heard: xsync.NewSPSCQueue[takeover.End](heardMost), poke: make(chan struct{}, 1), mine: map[string]bool{}}
+	w.giver.Tenant, w.giver.Aim = f.cfg.Tenant, f.cfg.Aim
+	w.holder = takeover.NewHolder(*f.cfg.Work, f.cfg.Name, logOf{f})
+	w.holder.Back = func(calls []string) { f.woke(calls) }
+	w.vouched.Store(math.MaxInt64)
+	w.upto.Store(math.MaxUint64)
+	w.began = now
+	f.work = w
+}
+
+// logOf is the log as the member has heard it.
+type logOf struct{ f *Fleet }
+
+func (l logOf) Over(name string, incarnation uint64) bool {
+	return l.f.member.Machine.Over(name, incarnation)
+}
+
+func (l logOf) Lives(name string) bool { return l.f.member.Machine.Member(name).GetLive() }
+
+func (l logOf) HeirOf(name string, incarnation uint64) (string, uint64, bool) {
+	return l.f.member.Machine.HeirOf(name, incarnation)
+}
+
+// ---- of the core ----
+
+// woke gives the loop word of what was taken from this router.
+func (f *Fleet) woke(calls []string) {
+	w := f.work
+	list := slices.Clone(calls)
+	if was := w.woke.Swap(nil); was != nil {
+		list = append(list, *was...)
+	}
+	w.woke.Store(&list)
+	f.cfg.Wake()
+}
+
+// worked takes what the fleet has come to.
+func (f *Fleet) worked(now time.Duration, n fleet.Note) {
+	w := f.work
+	switch n.Kind {
+	case fleet.Granted, fleet.Regained:
+		w.owner.Acts(n.Incarnation)
+		w.began, w.woken = now, false
+	}
+	switch n.Kind {
+	case fleet.Granted, fleet.Began, fleet.Lost, fleet.Left, fleet.Passed:
+		f.heirs()
+		f.neighbours()
+	}
+}
+
+// heirs has the owner know who is to hold its work.
+func (f *Fleet) heirs() {
+	want := map[string]uint64{}
+	m := f.member.Machine
+	for _, one := range fleet.Heirs(f.cfg.Name, f.cfg.Zone, m.Members(), f.work.terms.Holders) {
+		want[one.Name] = one.Incarnation
+	}
+	f.work.owner.Holders(want, m.Over)
+}
+
+// worksWith are routers that links are wanted to.
+func (f *Fleet) worksWith() (names []string) {
+	w := f.work
+	var ring []string // what is heard goes round by neighbours
+	for _, m := range f.member.Machine.Members() {
+		if m.Live && (f.cfg.Reach[m.Name] != "" || m.Address != "") {
+			ring = append(ring, m.Name)
+		}
+	}
+	names = append(verdict.Neighbours(f.cfg.Name, ring), append(w.owner.Names(), w.holder.Names()...)...)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// work takes a frame of another router.
+func (f *Fleet) hearWork(now time.Duration, l *link, b []byte) {
+	w := f.work
+	frame := &takeoverpb.Frame{}
+	if w == nil || proto.Unmarshal(b, frame) != nil {
+		f.refused(l.name + ": a word on work in hand that cannot be read")
+		l.cut()
+		return
+	}
+	if c := frame.GetConfirm(); c != nil {
+		if frame.Owner == f.cfg.Name {
+			w.owner.Hear(l.name, frame.Incarnation, c)
+		}
+		return
+	}
+	incarnation, ok := f.Holds(now)
+	if !ok {
+		incarnation = 0
+	}
+	w.holder.Hear(now, l.name, frame, incarnation)
+}
+
+// labour has the pure parts do what is due, and carries out what they want.
+func (f *Fleet) labour(now time.Duration) {
+	w := f.work
+	for {
+		b, ok := w.records.TryDequeue()
+		if !ok {
+			break
+		}
+		w.owner.Add(b.first, b.records)
+	}
+	var ends []takeover.End
+	for {
+		e, ok := w.heard.TryDequeue()
+		if !ok {
+			break
+		}
+		ends = append(ends, e)
+	}
+	w.holder.Ended(now, "", ends)
+	for name, l := range w.links {
+		if !w.up[name] && l != nil {
+			w.up[name] = true
+			w.owner.Linked(name, true)
+			w.holder.Greet(name)
+		}
+	}
+	incarnation := f.member.Lease().Incarnation
+	if !f.member.Lease().Holds(now) {
+		incarnation = 0
+	}
+	w.holder.Tick(now, incarnation)
+	sends, acts := w.holder.Output()
+	if !w.left {
+		sends = append(sends, w.owner.Tick(now)...)
+	}
+	f.sendWork(sends)
+	if len(acts.Adopt)+len(acts.Drop)+len(acts.Ends) > 0 {
+		if len(acts.Adopt) > 0 {
+			f.cfg.Log.Warn().Str("event", "work_taken").Int("calls", len(acts.Adopt)).Msgf("work in hand: %d calls of routers that are lost are this one's now", len(acts.Adopt))
+		}
+		if !w.acts.TryEnqueue(acts) {
+			w.count.Missed.Add(uint64(len(acts.Adopt)))
+		}
+		f.cfg.Wake()
+	}
+	if was := w.upto.Load(); was != w.owner.Confirmed() {
+		w.upto.Store(w.owner.Confirmed())
+		f.cfg.Wake()
+	}
+	w.vouched.Store(int64(w.owner.Vouched()))
+	if !w.woken && f.told(now) {
+		w.woken = true
+		w.awake.Store(true)
+		f.cfg.Wake()
+	}
+}
+
+// told says whether all that may have taken work from this router have said so, or have had the time to.
+func (f *Fleet) told(now time.Duration) bool {
+	w := f.work
+	if now-w.began > w.terms.Wake {
+		return true
+	}
+	if f.member.Lease().Incarnation == 0 {
+		return false
+	}
+	for _, p := range f.member.Machine.Member(f.cfg.Name).GetPast() {
+		if p.Heir != "" && p.Heir != f.cfg.Name && !w.holder.Told(p.Incarnation) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) sendWork(sends []takeover.Send) {
+	for _, s := range sends {
+		if l := f.work.links[s.To]; l != nil {
+			b, _ := proto.Marshal(s.Frame)
+			f.send(l, &fleetpb.Frame{What: &fleetpb.Frame_Work{Work: b}})
+		}
+	}
+}
+
+// worksDue is when labour has something to do.
+func (f *Fleet) worksDue(now time.Duration) time.Duration {
+	return min(f.work.owner.Due(), f.work.holder.Due(now))
+}
+
+// linkedWork is told of a link to a router that has opened or ended: of several the latest is used.
+func (f *Fleet) linkedWork(l *link, open bool) {
+	w := f.work
+	list := slices.DeleteFunc(w.all[l.name], func(o *link) bool { return o == l })
+	if open {
+		list = append(list, l)
+	}
+	if w.all[l.name] = list; len(list) == 0 {
+		delete(w.all, l.name)
+		delete(w.links, l.name)
+		w.owner.Linked(l.name, false)
+	} else if last := list[len(list)-1]; w.links[l.name] != last {
+		w.links[l.name], w.up[l.name] = last, false
+	}
+	w.holder.Linked(slices.Sorted(maps.Keys(w.links)))
+	w.linked.Store(len(w.links) > 0)
+}
+
+// ---- of the loop ----
+
+// Works says whether work in hand is held by others.
+func (f *Fleet) Works() bool { return f.work != nil }
+
+// Giver hears the router, as its observer.
+func (f *Fleet) Giver() *takeover.Giver { return f.work.giver }
+
+// toil is the work's part of a turn of the loop: a router that may not act any more lets go, and what was taken over comes.
+func (f *Fleet) toil(now time.Duration) (wait time.Duration) {
+	w := f.work
+	wait = time.Hour
+	f.LookAtWork(now)
+	if lease := f.lease.Load(); lease.Holds(now) {
+		wait = lease.Until - now
+	} else if !w.ceased {
+		wait = max(time.Duration(w.vouched.Load())-now, 0)
+	}
+	f.takeWork()
+	return min(wait, time.Hour)
+}
+
+// LookAtWork is for the moment before the loop acts, and first thing after each of its waits: a router that may not act any more lets go of what is in hand.
+func (f *Fleet) LookAtWork(now time.Duration) {
+	w := f.work
+	lease := f.lease.Load()
+	if lease.Incarnation != 0 && lease.Holds(now) {
+		w.ceased = false
+	} else if !w.ceased && now >= time.Duration(w.vouched.Load()) && !takeover.ActsOn() {
+		w.ceased = true
+		w.count.Ceased.Add(1)
+		w.giver.Cease()
+		f.cfg.Cease()
+		f.cfg.Log.Warn().Str("event", "work_ceased").Msg("work in hand: no lease, and nobody vouches: what was in hand is another's, new calls go on")
+		f.flushWork()
+		w.mine = map[string]bool{}
+		select {
+		case f.tasks <- func(time.Duration) { w.owner.Cease() }:
+		default:
+			w.ceased = false // once more in the next turn
+		}
+	}
+}
+
+// takeWork takes what the core has come to.
+func (f *Fleet) takeWork() {
+	w := f.work
+	for {
+		acts, ok := w.acts.TryDequeue()
+		if !ok {
+			break
+		}
+		for _, c := range acts.Adopt {
+			if f.cfg.Adopt(c) {
+				w.mine[c.ID] = true
+				w.giver.Adopt(c)
+			}
+		}
+		for _, id := range acts.Drop {
+			delete(w.mine, id)
+			f.cfg.Drop(id)
+			w.giver.Settle(id)
+		}
+		for _, e := range acts.Ends {
+			f.cfg.Ended(e, f.settle(e.Call))
+		}
+		if len(acts.Adopt) > 0 {
+			f.cfg.Renew()
+		}
+	}
+	if calls := w.woke.Swap(nil); calls != nil {
+		f.cfg.Taken(*calls)
+	}
+	if w.awake.Swap(false) {
+		f.cfg.Awake()
+	}
+}
+
+// settle notes the end of a call that was taken over; false: it is none.
+func (f *Fleet) settle(id string) bool {
+	mine := f.work.mine[id]
+	if mine {
+		delete(f.work.mine, id)
+		f.work.giver.Settle(id)
+	}
+	return mine
+}
+
+// Heard is the loop's: the end of a call that this router's Router does not know. True: it is this router's to tell, for the call was taken over, or nobody else could know of it.
+func (f *Fleet) Heard(id string, how uint8, byCaller bool) bool {
+	w := f.work
+	mine := f.settle(id)
+	if !w.heard.TryEnqueue(takeover.End{Call: id, How: how, At: time.Now().UnixMilli(), By: byCaller}) {
+		w.count.Missed.Add(1)
+	}
+	select {
+	case w.poke <- struct{}{}:
+	default:
+	}
+	return mine || !w.linked.Load()
+}
+
+// flushWork hands the core what has been recorded.
+func (f *Fleet) flushWork() (kept uint64) {
+	w := f.work
+	first, list, kept := w.giver.Take(nil)
+	if len(list) > 0 {
+		if !w.records.TryEnqueue(batch{first, list}) {
+			w.count.Missed.Add(uint64(len(list)))
+		}
+		select {
+		case w.poke <- struct{}{}:
+		default:
+		}
+	}
+	return kept
+}
+
+// Hold puts the work's gate before another: the bytes of a turn leave once the other lets them, and a holder has what they tell of kept classes.
+func (f *Fleet) Hold(inner loop.Gate) loop.Gate { return &workGate{f: f, inner: inner} }
+
+type workGate struct {
+	f     *Fleet
+	inner loop.Gate // nil: none
+	kept  uint64    // and inner ticket, of the latest turn
+	last  uint64
+}
+
+// Commit implements loop.Gate.
+func (g *workGate) Commit() uint64 {
+	w := g.f.work
+	var inner uint64
+	if g.inner != nil {
+		inner = g.inner.Commit()
+	}
+	kept := g.f.flushWork()
+	if kept == g.kept && inner == g.last { // nothing has come that this turn's bytes would have to wait for beyond the turn before
+		return w.ticket
+	}
+	g.kept, g.last = kept, inner
+	w.ticket++
+	w.waiting = append(w.waiting, ticket{inner, kept, Clock()})
+	return w.ticket
+}
+
+// Passed implements loop.Gate.
+func (g *workGate) Passed() uint64 {
+	w := g.f.work
+	inner := uint64(math.MaxUint64)
+	if g.inner != nil {
+		inner = g.inner.Passed()
+	}
+	upto, now := w.upto.Load(), Clock()
+	done := 0
+	for done < len(w.waiting) && w.waiting[done].inner <= inner {
+		t := &w.waiting[done]
+		if t.record > upto {
+			if now-t.since < w.terms.Patience && len(w.waiting) < waitMost {
+				break
+			}
+			w.count.Hurried.Add(1)
+		} else if upto == math.MaxUint64 && t.record > 0 {
+			w.count.Alone.Add(1)
+		}
+		done++
+	}
+	w.waiting = append(w.waiting[:0], w.waiting[done:]...)
+	return w.ticket - uint64(len(w.waiting))
+}
+
+// Patience implements loop.Gate.
+func (g *workGate) Patience() time.Duration {
+	p := g.f.work.terms.Patience
+	if g.inner != nil {
+		p = min(p, g.inner.Patience())
+	}
+	return p
+}
+
+// leaveWork tells holders that this router has stopped acting; it is the core's.
+func (f *Fleet) leaveWork(now time.Duration) {
+	f.labour(now)
+	f.work.left = true
+	f.sendWork(f.work.owner.Leave(now))
+}
+
+// reportWork is the router's to an operator.
+func (f *Fleet) reportWork(now time.Duration, find string) []byte {
+	r := takeover.Report(now, f.work.owner, f.work.holder)
+	c := &f.work.count
+	r.Counts["hurried"], r.Counts["alone"], r.Counts["ceased"], r.Counts["missed"] = c.Hurried.Load(), c.Alone.Load(), c.Ceased.Load(), c.Missed.Load()
+	if find != "" {
+		r.Found = takeover.Find(find, f.work.owner, f.work.holder)
+	}
+	b, _ := proto.Marshal(r)
+	return b
+}
+
+// reach keeps links to whom this router should have them to.
+func (f *Fleet) reach(names []string) {
+	want := map[string]bool{}
+	for _, name := range names {
+		at := f.cfg.Reach[name]
+		if at == "" {
+			at = f.member.Machine.Member(name).GetAddress()
+		}
+		if at == "" || name == f.cfg.Name {
+			continue
+		}
+		want[name+" "+at] = true
+		if f.dials[name+" "+at] == nil {
+			ctx, stop := context.WithCancel(f.ctx)
+			f.dials[name+" "+at] = stop
+			f.done.Add(1)
+			go f.follow(ctx, name, at, talks)
+		}
+	}
+	for key, stop := range f.dials {
+		if !want[key] {
+			stop()
+			delete(f.dials, key)
+		}
+	}
+}
--- a/internal/ledgerio/carrier.go
+++ b/internal/ledgerio/carrier.go
@@ -188,6 +188,18 @@
 // SetClasses has calls that come from now on earn by other classes.
 func (c *Carrier) SetClasses(classes map[string]ledger.Class) { c.keeper.SetClasses(classes) }
 
+// Adopt books a standing call taken over from another router; false: it is in the books already. Drop, Sleep and Wake are the keeper's, too: calls that are others' are dropped.
+func (c *Carrier) Adopt(t ledger.Taken) bool { return c.keeper.Adopt(t) }
+
+// Drop takes a call out of the books that is in another router's.
+func (c *Carrier) Drop(id string) { c.keeper.Drop(ledger.CallKey(id)) }
+
+// Sleep has calls from before wait for Wake.
+func (c *Carrier) Sleep() { c.keeper.Sleep() }
+
+// Wake says which of them others have taken over.
+func (c *Carrier) Wake(taken []string) { c.keeper.Wake(taken) }
+
 // Admit says whether a request can be billed, where the settings want only such.
 func (c *Carrier) Admit(router.Request) (threadglade.Reason, time.Duration) {
 	if !c.cfg.Refuse || !c.open {
--- a/internal/ledgerio/store.go
+++ b/internal/ledgerio/store.go
@@ -300,6 +300,32 @@
 	return v, nil
 }
 
+// Standing is what a folder's journal says of calls: which have stood and are counted, stated or not yet, which ended as unknown, and which are open. It needs no lock: nobody writes any more.
+func Standing(f durable.FS, dir string) (counted, unknown, open map[uint64]bool, err error) {
+	counted, unknown, open = map[uint64]bool{}, map[uint64]bool{}, map[uint64]bool{}
+	take := func(s *ledger.Statement) error {
+		for _, c := range s.Calls {
+			counted[c] = true
+		}
+		for _, c := range s.Unknown {
+			unknown[ledger.CallKey(c.Call)] = true
+		}
+		return nil
+	}
+	c := ledger.NewCollector(take)
+	if _, err = readJournal(f, dir, 0, c.Take); err != nil {
+		return nil, nil, nil, err
+	}
+	list, _ := c.Unstated()
+	for _, s := range list {
+		take(s)
+	}
+	for call := range c.Book.Calls {
+		open[call] = true
+	}
+	return counted, unknown, open, nil
+}
+
 // ReadExport reads an export file; calls, unless nil, gets the calls that stood.
 func ReadExport(f durable.FS, path string, calls func([]uint64) error) (*ledger.Export, error) {
 	r, err := durable.Open(f, path, kindExport)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -57,6 +57,7 @@
 	stop    bool
 	outer   *Loop // of a set of urgent sources: the loop that it is in
 	gate    Gate
+	look    func()   // first thing after each wait; nil: nothing
 	corked  []*Conn  // have bytes of this turn
 	waiting []parcel // of earlier turns, oldest first
 }
@@ -81,6 +82,9 @@
 // SetGate has a gate hold back what is written from now on. It is called before Run.
 func (l *Loop) SetGate(g Gate) { l.gate = g }
 
+// SetLook has something be looked at after each wait, before anything that has come is taken: time may have gone by in which the process was stopped. It is called before Run.
+func (l *Loop) SetLook(look func()) { l.look = look }
+
 // Nudge has Run ask the gate again. It may be called from any goroutine.
 func (l *Loop) Nudge() { l.Post(func() {}) }
 
@@ -215,6 +219,9 @@
 		if err != nil && err != unix.EINTR {
 			return fmt.Errorf("epoll wait: %w", err)
 		}
+		if l.look != nil {
+			l.look()
+		}
 		for i, e := range events[:max(n, 0)] {
 			if l.first != nil && i%urgentEvery == urgentEvery-1 {
 				l.attend()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,9 @@
 	if c.Product.Fleet != nil && c.Product.Fleet.Verdicts != nil {
 		rc.Observer = observe(rc.Observer, watcher{n})
 	}
+	if c.Product.Fleet != nil && c.Product.Fleet.Work != nil {
+		rc.Observer = observe(rc.Observer, giver{n})
+	}
 	if n.Router, err = router.New(rc); err != nil {
 		return nil, err
 	}
--- a/internal/node/product.go
+++ b/internal/node/product.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"os/signal"
 	"reflect"
 	"runtime/debug"
@@ -24,6 +25,7 @@
 	"threadglade.example/threadglade/ledger"
 	"threadglade.example/threadglade/quota"
 	"threadglade.example/threadglade/router"
+	"threadglade.example/threadglade/takeover"
 	"threadglade.example/threadglade/trace"
 	"threadglade.example/threadglade/verdict"
 )
@@ -90,6 +92,13 @@
 		}
 		p.Limits = append([]quota.Limit{}, fleetio.ReadLimits(sub)...)
 	}
+	if sub := s.Sub("takeover"); sub != nil {
+		if p.Fleet == nil {
+			sub.Errorf("", "work in hand is held in a fleet: a (fleet ...) section is wanted")
+		} else {
+			p.Fleet.Work = fleetio.ReadTakeover(sub, p.Fleet)
+		}
+	}
 	if sub := s.Sub("verdicts"); sub != nil {
 		if p.Fleet == nil {
 			sub.Errorf("", "verdicts of a fleet want a (fleet ...) section")
@@ -150,6 +159,18 @@
 			fmt.Fprintf(w, "  (verdicts (quorum %d) (share-percent %.0f) (silence %q) (late %q) (hold %q) (trial %q) (return %q))\n", v.Quorum, 100*v.Share, v.Silence, v.Late, v.Hold, v.Trial, v.Return)
 		}
 	}
+	if p.Fleet != nil && p.Fleet.Work != nil {
+		t := p.Fleet.Work
+		mode := "kept"
+		if t.AllFast {
+			mode = "fast"
+		}
+		fmt.Fprintf(w, "  (takeover (mode %s) (holders %d) (vouch %q) (patience %q) (remember %q) (wake %q)", mode, t.Holders, t.Vouch, t.Patience, t.Remember, t.Wake)
+		if len(t.Fast) > 0 {
+			fmt.Fprintf(w, " (fast%s)", quote(slices.Sorted(maps.Keys(t.Fast))))
+		}
+		fmt.Fprintln(w, ")")
+	}
 	for _, l := range p.Limits {
 		fmt.Fprintf(w, "  ; limit %q: %s %g, cut off %s\n", l.Name, l.Kind, l.Most, l.CutOff)
 	}
@@ -161,8 +182,20 @@
 	if n.config.Product.Fleet.Keeper(n.config.Name) {
 		signal.Ignore(syscall.SIGXFSZ) // a limit on files is an error of the write, which stops the vote and not the process
 	}
-	n.fleet, err = fleetio.Open(fleetio.Config{Options: *n.config.Product.Fleet, FS: n.files(), Name: n.config.Name, Member: true, Wake: n.Loop.Nudge, Log: n.log,
-		Limits: n.config.Product.Limits, Parts: n.parts, Further: n.further, Care: n.care, Now: n.clock})
+	c := fleetio.Config{Options: *n.config.Product.Fleet, FS: n.files(), Name: n.config.Name, Member: true, Wake: n.Loop.Nudge, Log: n.log,
+		Limits: n.config.Product.Limits, Parts: n.parts, Further: n.further, Care: n.care, Now: n.clock}
+	if c.Work != nil {
+		n.takeover(&c)
+	}
+	n.fleet, err = fleetio.Open(c)
+	if err == nil && n.fleet.Works() {
+		n.Loop.SetLook(func() { n.fleet.LookAtWork(fleetio.Clock()) })
+		if n.ledger != nil {
+			n.Loop.SetGate(n.fleet.Hold(n.ledger))
+		} else {
+			n.Loop.SetGate(n.fleet.Hold(nil))
+		}
+	}
 	if err == nil && n.fleet.Limited() {
 		n.cold(n.config.Servers)
 	}
@@ -249,6 +282,74 @@
 	}
 }
 
+// giver has others hold what is in hand.
+type giver struct{ n *Node }
+
+// Observe implements router.Observer.
+func (g giver) Observe(e router.Event) {
+	if f := g.n.fleet; f != nil {
+		f.Giver().Observe(e)
+	}
+}
+
+// takeover joins what is in hand to the fleet: what is let go, and what is taken.
+func (n *Node) takeover(c *fleetio.Config) {
+	if n.ledger != nil {
+		n.ledger.Sleep()
+	}
+	c.Cease = func() {
+		n.Router.Cease()
+		n.trunk.Cease()
+	}
+	c.Adopt = func(t takeover.Call) bool {
+		if !t.Stands { // nobody waits for its answer any more
+			n.trunk.Withdraw(t.Server, t.ID, "0")
+			return false
+		}
+		return n.ledger == nil || n.ledger.Adopt(ledger.Taken{ID: t.ID, Tenant: t.Tenant, Class: t.Class, Server: t.Server, Attempt: t.Attempt, Retry: t.Retry, InTime: t.InTime, Stood: t.Stood})
+	}
+	c.Drop = func(id string) {
+		if n.ledger != nil {
+			n.ledger.Drop(id)
+		}
+	}
+	c.Ended = func(e takeover.End, taken bool) {
+		how := threadglade.Outcome(e.How)
+		if !taken {
+			n.trunk.Ended(e.Call, how, e.By)
+			return
+		}
+		if n.ledger != nil {
+			n.ledger.Observe(router.Event{Kind: router.OrphanRelease, At: n.clock(), Call: e.Call, Outcome: how})
+		}
+		if !e.By {
+			n.front.Orphan(e.Call, how)
+		}
+	}
+	c.Renew = n.trunk.Renew
+	c.Taken = func(ids []string) {
+		for _, id := range ids {
+			c.Drop(id)
+		}
+	}
+	c.Awake = func() {
+		if n.ledger != nil {
+			n.ledger.Wake(nil)
+		}
+	}
+	if o := n.config.Product.Ledger; o != nil {
+		c.Tenant = func(e router.Event) string { return o.Tenants.Tenant(e.Tenant, e.Identity, e.Caller, e.Number) }
+	}
+	c.Aim = func(class string) time.Duration {
+		for i := range n.config.Settings.Classes {
+			if n.config.Settings.Classes[i].Name == class {
+				return n.config.Settings.Classes[i].Aim
+			}
+		}
+		return 0
+	}
+}
+
 // limiter stands before the decisions where the fleet has limits: it asks the router's own shares, and hears when calls are over.
 type limiter struct {
 	n    *Node
--- a/internal/node/turnover.go
+++ b/internal/node/turnover.go
@@ -124,6 +124,9 @@
 
 // orphan hears a server's release of a call that this process does not know.
 func (n *Node) orphan(id string, how threadglade.Outcome) {
+	if n.fleet != nil && n.fleet.Works() && !n.fleet.Heard(id, uint8(how), false) {
+		return // whose call it is hears of it, and tells its caller
+	}
 	if !n.turn.heir.Standby() { // else it is of the elder's, which hears it, too
 		n.front.Orphan(id, how)
 	}
@@ -134,6 +137,9 @@
 	if n.turn.last == nil || !sip.Bye(n.turn.last, id) {
 		n.trunk.ReleaseAnywhere(id)
 	}
+	if n.fleet != nil && n.fleet.Works() {
+		n.fleet.Heard(id, uint8(threadglade.Cancelled), true)
+	}
 }
 
 // ---- as the one that is followed ----
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -79,8 +79,8 @@
 
 // TrunkCounters count what went to case servers and came from them. Peers, Legs and Given are what is held now.
 type TrunkCounters struct {
-	Dials, DialsFailed, Opened, Closed, Invites, Unsent, Cancels, Releases, Messages, Malformed, Cut, Salvaged, States, Crossed, Unknown, Silent, Mute uint64
-	Peers, Legs, Given                                                                                                                                 int
+	Dials, DialsFailed, Opened, Closed, Invites, Unsent, Cancels, Withdrawn, Releases, Messages, Malformed, Cut, Salvaged, States, Crossed, Unknown, Silent, Mute uint64
+	Peers, Legs, Given                                                                                                                                            int
 }
 
 // peer is one server and the connections to it.
@@ -504,6 +504,40 @@
 	}
 }
 
+// Cease lets go of all that stands or is out, and closes every connection unread: what servers have to say of it they say to others.
+func (t *Trunk) Cease() {
+	for _, l := range t.legs {
+		t.drop(l)
+	}
+	clear(t.given)
+	for _, p := range t.peers {
+		p.owed = nil
+		p.hangUp()
+		p.connect()
+	}
+}
+
+// Ended takes the end of a call that may stand here, as another router has heard it.
+func (t *Trunk) Ended(id string, how threadglade.Outcome, byCaller bool) {
+	switch l := t.legs[id]; {
+	case l == nil || !l.standing:
+	case byCaller:
+		t.router.Release(id)
+	default:
+		t.end(l, how, threadglade.CauseNone)
+	}
+}
+
+// Withdraw gives up at its server, and should it have been answered releases, a set-up that another router had out there.
+func (t *Trunk) Withdraw(server, id, number string) {
+	if p := t.peers[server]; p != nil && p.line != nil {
+		t.count.Withdrawn++
+		t.buf = request(t.buf[:0], "CANCEL", number, id, 1, "CANCEL").body(nil)
+		p.line.conn.Write(t.buf)
+		p.line.release(id)
+	}
+}
+
 // drop takes an attempt off the books.
 func (t *Trunk) drop(l *outLeg) {
 	delete(t.legs, l.ID)
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -56,6 +57,7 @@
 	count  LoadCounts
 	ends   map[string]string    // call to what became of it, where recorded
 	acked  map[string]time.Time // when releases of callers were answered
+	byes   map[string]int       // releases that came, by call, where recorded
 	hung   map[string]bool      // calls whose callers have released them, or tried to
 	conns  map[*callerConn]bool
 	tries  map[string]int // redials that came before a call that is open
@@ -87,7 +89,7 @@
 	if cfg.Servers == 0 {
 		cfg.Servers = 2
 	}
-	l := &Load{cfg: cfg, ends: map[string]string{}, acked: map[string]time.Time{}, hung: map[string]bool{}, conns: map[*callerConn]bool{}, tries: map[string]int{}, firsts: map[string]*Try{}, prefix: rand.New(rand.NewPCG(cfg.Seed, 1)).Uint64() &^ 0xffffffff}
+	l := &Load{cfg: cfg, ends: map[string]string{}, acked: map[string]time.Time{}, byes: map[string]int{}, hung: map[string]bool{}, conns: map[*callerConn]bool{}, tries: map[string]int{}, firsts: map[string]*Try{}, prefix: rand.New(rand.NewPCG(cfg.Seed, 1)).Uint64() &^ 0xffffffff}
 	l.SetRate(cfg.Rate)
 	for i := range cfg.Connections {
 		l.done.Add(1)
@@ -136,6 +138,13 @@
 	return l.acked[id]
 }
 
+// Byes tells how many releases came of each call.
+func (l *Load) Byes() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.byes)
+}
+
 // Ends tells what became of each call: stood, refused, failed or lost.
 func (l *Load) Ends() map[string]string {
 	l.mu.Lock()
@@ -330,6 +339,9 @@
 		c.w.send(Response(200, "BYE", id, ""))
 		c.l.mu.Lock()
 		c.l.hung[id] = true // nothing is left to hang up
+		if c.l.cfg.Record {
+			c.l.byes[id]++
+		}
 		c.l.count.Released++
 		if m.Header["Reason"] != "Q.850;cause=16" {
 			c.l.count.Cut++
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -58,8 +58,9 @@
 	others [2]int // names of servers and of stated tenants among them, since the start
 	live   map[string]*live
 	free   []*live
-	old    map[uint64]*Open // of earlier lives, while their end is not known
-	oldBy  []*Open          // the same by Since
+	old    map[uint64]*Open  // of earlier lives, or taken over from others, while their end is not known
+	asleep map[uint64]*heard // of those: that others may have taken over, with their end where it was heard meanwhile
+	oldBy  []*Open           // the same by Since
 	now    int64
 	closed int64
 	number uint64
@@ -71,8 +72,14 @@
 
 // KeeperCounters count what a keeper has done since its start. Open, Old and Waiting are what is held now.
 type KeeperCounters struct {
-	Calls, Entries, Spilled, Unspoken, Recovered, Unknown, Statements uint64
-	Open, Old, Waiting                                                int
+	Calls, Entries, Spilled, Unspoken, Recovered, Unknown, Statements, Adopted, Ceded uint64
+	Open, Old, Waiting                                                                int
+}
+
+// heard is the end of a call that others may have taken over; at 0: none has been heard.
+type heard struct {
+	how threadglade.Outcome
+	at  int64
 }
 
 // live is a call of this life.
@@ -247,11 +254,97 @@
 		if !l.inTime {
 			l.usage[WorthMilli] = l.earns.LateMilli
 		}
+	case router.Ceded:
+		k.cede(e.Call, l)
 	case router.Over:
 		k.over(e.Call, l)
 	}
 }
 
+// cede has a standing call be one that another router may have taken over.
+func (k *Keeper) cede(id string, l *live) {
+	delete(k.live, id)
+	c := &Open{Call: l.call, Tenant: l.tenant, Class: l.class, Server: l.server, Attempt: l.attempt, Retry: l.retry, Since: l.since, Stood: l.answered, InTime: l.inTime, Usage: l.usage}
+	c.Usage[Offered], c.Usage[Repeats] = 0, 0
+	k.keepOpen(c)
+	if k.asleep == nil {
+		k.asleep = map[uint64]*heard{}
+	}
+	k.asleep[l.call] = &heard{}
+}
+
+// keepOpen adds a call to those whose end is not known.
+func (k *Keeper) keepOpen(c *Open) {
+	k.old[c.Call] = c
+	at, _ := slices.BinarySearchFunc(k.oldBy, c, func(a, b *Open) int { return cmp.Or(cmp.Compare(a.Since, b.Since), cmp.Compare(a.Call, b.Call)) })
+	k.oldBy = slices.Insert(k.oldBy, at, c)
+}
+
+// Taken is a standing call that this router has taken over from another.
+type Taken struct {
+	ID, Tenant, Class, Server string
+	Attempt                   uint32
+	Retry, InTime             bool
+	Stood                     int64 // ledger time of the answer
+}
+
+// Adopt books a call taken over as one from before; false: it is in the books already. It counts as unknown after as long a time as one of an earlier life, from now on.
+func (k *Keeper) Adopt(t Taken) bool {
+	key := CallKey(t.ID)
+	if k.live[t.ID] != nil || k.old[key] != nil {
+		return false
+	}
+	now := k.time()
+	c := &Open{Call: key, Tenant: k.name(t.Tenant, ofStated), Class: k.name(t.Class, ofSettings), Server: k.name(t.Server, ofServers), Attempt: t.Attempt, Retry: t.Retry, Since: now, Stood: max(t.Stood, 1), InTime: t.InTime}
+	k.keepOpen(c)
+	if !k.full() {
+		k.out = append(k.out, Entry{Kind: Intent, At: now, Call: key, Tenant: c.Tenant, Class: c.Class, Server: c.Server, Attempt: c.Attempt, Retry: c.Retry},
+			Entry{Kind: Answer, At: now, From: c.Stood, Call: key, InTime: c.InTime})
+	}
+	k.count.Adopted++
+	return true
+}
+
+// Drop takes a call out of the books that is in another's.
+func (k *Keeper) Drop(call uint64) {
+	if k.old[call] == nil {
+		return
+	}
+	delete(k.old, call)
+	delete(k.asleep, call)
+	k.count.Ceded++
+	if !k.full() {
+		k.out = append(k.out, Entry{Kind: Gone, At: k.time(), Call: call})
+	} else {
+		k.spill.gone = append(k.spill.gone, call)
+	}
+}
+
+// Sleep has calls of earlier lives wait for word of what others have taken over: their ends are kept meanwhile.
+func (k *Keeper) Sleep() {
+	if k.asleep = map[uint64]*heard{}; mutant != "own-books" {
+		for call := range k.old {
+			k.asleep[call] = &heard{}
+		}
+	}
+}
+
+// Wake takes that word: what others have is dropped, and what is left is this router's, with the ends that were heard.
+func (k *Keeper) Wake(taken []string) {
+	for _, id := range taken {
+		if call := CallKey(id); k.asleep[call] != nil {
+			k.Drop(call)
+		}
+	}
+	ends := k.asleep
+	k.asleep = nil
+	for _, call := range slices.Sorted(maps.Keys(ends)) {
+		if e := ends[call]; e.at > 0 {
+			k.released(call, e.how)
+		}
+	}
+}
+
 func (k *Keeper) arrived(e *router.Event) {
 	var l *live
 	if n := len(k.free); n > 0 {
@@ -339,6 +432,10 @@
 		k.count.Unspoken++
 		return
 	}
+	if e := k.asleep[call]; e != nil {
+		e.how, e.at = how, k.time()
+		return
+	}
 	delete(k.old, call)
 	now := k.time()
 	u := c.Usage
@@ -383,6 +480,7 @@
 			continue
 		}
 		delete(k.old, c.Call)
+		delete(k.asleep, c.Call)
 		u := c.Usage
 		u[Offered], u[Unknown] = 1, 1
 		u[Lost]++
--- a/reason.go
+++ b/reason.go
@@ -7,7 +7,7 @@
 
 var reasonNames = [...]string{"", "first choice", "remembered", "drawn", "gapped", "resting", "on trial", "hopeless", "budget spent",
 	"not up", "not skilled", "no server", "unknown class", "out of time", "number busy", "crowded out", "returned", "own fault",
-	"no further attempt", "overtaken", "unbillable", "over limit", "shared verdict", "spared"}
+	"no further attempt", "overtaken", "unbillable", "over limit", "shared verdict", "spared", "taken over"}
 
 func (r Reason) String() string {
 	if r < 0 || int(r) >= len(reasonNames) {
--- a/router/observer.go
+++ b/router/observer.go
@@ -41,6 +41,7 @@
 	Withdrawn                     // the attempt at Server is given up, for Reason; AttemptEnded follows
 	Loaded                        // Server reports its wait and how much it can take
 	Cared                         // Server is left alone for what all routers know of it
+	Ceded                         // a standing call is another router's now; what follows of it here is no end of it
 )
 
 // Event is one thing that happened. Fields that Kind does not need are zero.
--- a/router/router.go
+++ b/router/router.go
@@ -10,7 +10,9 @@
 	"bytes"
 	"container/heap"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -326,6 +328,29 @@
 	})
 }
 
+// Cease lets go of all that is in hand, which another router takes over: what waits is refused, what is out given up, and of what stands nothing is told to anybody. Whoever owns the trunk has it
+// let go in the same step.
+func (r *Router) Cease() {
+	r.do(nil, func([]byte) {
+		for _, id := range slices.Sorted(maps.Keys(r.calls)) {
+			c := r.calls[id]
+			switch {
+			case c == nil:
+			case c.standing:
+				r.count.Ceded++
+				r.observe(Ceded, c)
+				r.end(c, threadglade.Cancelled, threadglade.CauseNone, false)
+				delete(r.over, id) // its end may come here all the same: as one of another's
+			case !c.final:
+				r.tell(threadglade.CallerGone{Call: id})
+				if r.answer(id) != nil {
+					r.refused(c, 0, threadglade.TakenOver)
+				}
+			}
+		}
+	})
+}
+
 // stray counts a release that is to be passed on, and says whether it may be.
 func (r *Router) stray() bool {
 	if now := r.cfg.Clock(); now-r.second >= time.Second {
@@ -865,7 +890,7 @@
 type Counters struct {
 	Requests, Repeated, Left, Stood, Refused, Failed, Overdue uint64
 	Attempts, Stopped, CallerReleases, Orphans, Ghosts        uint64
-	Lists, Faults                                             uint64
+	Lists, Faults, Ceded                                      uint64
 	Ends                                                      [8]uint64 // of attempts, by outcome
 	Calls, Known, Servers, Timers                             int       // table sizes: what is held now
 }
@@ -880,7 +905,7 @@
 func (c Counters) String() string {
 	return fmt.Sprintf("requests=%d repeated=%d left=%d stood=%d refused=%d failed=%d overdue=%d attempts=%d stopped=%d "+
 		"concluded=%d faulted=%d rejected=%d timed_out=%d unreachable=%d cut=%d cancelled=%d not_sent=%d "+
-		"caller_releases=%d orphans=%d ghosts=%d lists=%d faults=%d calls=%d known=%d servers=%d timers=%d", c.Requests, c.Repeated, c.Left, c.Stood, c.Refused, c.Failed,
+		"caller_releases=%d orphans=%d ghosts=%d lists=%d faults=%d ceded=%d calls=%d known=%d servers=%d timers=%d", c.Requests, c.Repeated, c.Left, c.Stood, c.Refused, c.Failed,
 		c.Overdue, c.Attempts, c.Stopped, c.Ends[0], c.Ends[1], c.Ends[2], c.Ends[3], c.Ends[4], c.Ends[5], c.Ends[6],
-		c.Ends[7], c.CallerReleases, c.Orphans, c.Ghosts, c.Lists, c.Faults, c.Calls, c.Known, c.Servers, c.Timers)
+		c.Ends[7], c.CallerReleases, c.Orphans, c.Ghosts, c.Lists, c.Faults, c.Ceded, c.Calls, c.Known, c.Servers, c.Timers)
 }
--- /dev/null
+++ b/takeover/mutant_on.go
@@ -0,0 +1,22 @@
+//go:build mutant
+
+package takeover
+
+import "os"
+
+// mutant is the fault that is built in.
+var mutant = os.Getenv("TAKEOVER_MUTANT")
+
+// Mutants are the faults that a build for tests can have, by name.
+var Mutants = map[string]string{
+	"confirm-the-dead": "a holder goes on confirming to an incarnation that is over",
+	"no-vouch":         "a holder does not note that it has vouched",
+	"let-go-early":     "a holder lets a copy go although it vouches still",
+	"every-holder":     "whoever holds a copy takes it over, heir or not",
+	"mind-no-gap":      "a holder takes records after a gap",
+	"lower-copy":       "what a later copy lacks stays in the heir's hands",
+	"act-on":           "an owner acts on although nobody vouches and its lease is over",
+}
+
+// Mutate builds a fault in, or with an empty name none.
+func Mutate(name string) { mutant = name }
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -23,6 +23,7 @@
 	threadglade.OwnFault: "servers had found fault with it", threadglade.NoFurther: "no further attempt was allowed or would have come in time",
 	threadglade.Overtaken: "a later set-up was answered first, so this one was lost", threadglade.Unbillable: "it could not have been billed",
 	threadglade.Spared:        "the routers together had found its first choice unfit, and this one was sent it in its place",
+	threadglade.TakenOver:     "this router's lease had run out and nobody vouched for it: what it had in hand was another's",
 	threadglade.SharedVerdict: "the routers together had found its first choice unfit, while this one had not",
 	threadglade.OverLimit:     "a limit of the whole fleet was reached: the share that this router had of it was used up",
 }
