Work in hand: an heir acts once its own holders have what it took; who ends passes on what callers have still to hear

Change: an heir answers who let go, and acts, once a holder of its own has the calls; what nobody has taken is its router's again; releases that are owed at the end go to another router.

--- a/internal/fleetio/fleet.go
+++ b/internal/fleetio/fleet.go
@@ -51,7 +51,9 @@
 	Now  func() time.Duration
 	// Work in hand, all on the loop: Cease lets go of all of it; Adopt books a call taken over, false where it is in the books; Drop takes one out again; Ended hears the end of one that was heard
 	// elsewhere, and whether the call was taken over; Renew has servers tell what they have to; Taken names calls of before that others have, and Awake says that no more are.
-	Cease  func()
+	Cease  func() (standing []string)
+	Open   []string           // calls of before a start whose ends are not known
+	Tell   func(takeover.End) // a caller whose router cannot tell it any more
 	Adopt  func(takeover.Call) bool
 	Drop   func(id string)
 	Ended  func(e takeover.End, taken bool)
@@ -97,6 +99,7 @@
 	talk   *talk                         // nil: no verdicts
 	work   *work                         // nil: nobody else has what is in hand
 	dials  map[string]context.CancelFunc // of the core: links to other routers, by name and address
+	owed   []takeover.End                // callers that this router could not tell, as it ends
 
 	// Of the loop.
 	beacon  *net.UDPConn
@@ -550,6 +553,9 @@
 		c.Refused.Load(), c.Dropped.Load(), c.Missed.Load(), f.links.Size(), more)
 }
 
+// Owe names callers that the router could not tell of their calls' ends, for another to do as it closes.
+func (f *Fleet) Owe(list []takeover.End) { f.owed = list }
+
 // Close leaves the fleet. The process must have stopped acting.
 func (f *Fleet) Close() error {
 	left := make(chan struct{})
--- a/internal/fleetio/work.go
+++ b/internal/fleetio/work.go
@@ -57,6 +57,7 @@
 
 // batch is the records of one turn.
 type batch struct {
+	take    uint64 // of the holder, whose calls are in the records
 	first   uint64
 	records []takeover.Record
 }
@@ -69,11 +70,14 @@
 	ceased  bool
 	waiting []ticket
 	ticket  uint64
-	mine    map[string]bool // calls taken over that have not ended
+	mine    map[string]bool          // calls taken over that have not ended
+	soon    []soon                   // what was taken and is not safe yet
+	ends    map[string]*takeover.End // of calls that are to be this router's, or may be again, the ends as far as they were heard
 	// Of the core.
 	owner  *takeover.Owner
 	holder *takeover.Holder
 	began  time.Duration // when this incarnation did
+	safe   []batch       // that have been given and not confirmed
 	woken  bool
 	left   bool
 	all    map[string][]*link
@@ -92,6 +96,12 @@
 	count   struct{ Hurried, Alone, Ceased, Missed atomic.Uint64 }
 }
 
+// soon is what was taken, until a holder has its records up to a number.
+type soon struct {
+	number uint64
+	acts   takeover.Acts
+}
+
 // ticket is one turn's bytes: they may leave once the inner gate has let them, and a holder has the record.
 type ticket struct {
 	inner, record uint64
@@ -100,8 +110,11 @@
 
 func (f *Fleet) openWork(now time.Duration) {
 	w := &work{terms: *f.cfg.Work, giver: &takeover.Giver{Terms: *f.cfg.Work, Wall: func() int64 { return time.Now().UnixMilli() }}, owner: takeover.NewOwner(*f.cfg.Work, f.cfg.Name), all: map[string][]*link{}, links: map[string]*link{}, up: map[string]bool{},
-		records: xsync.NewSPSCQueue[batch](workMost), acts: xsync.NewSPSCQueue[takeover.Acts](workMost), heard: xsync.NewSPSCQueue[takeover.End](heardMost), poke: make(chan struct{}, 1), mine: map[string]bool{}}
+		records: xsync.NewSPSCQueue[batch](workMost), acts: xsync.NewSPSCQueue[takeover.Acts](workMost), heard: xsync.NewSPSCQueue[takeover.End](heardMost), poke: make(chan struct{}, 1), mine: map[string]bool{}, ends: map[string]*takeover.End{}}
 	w.giver.Tenant, w.giver.Aim = f.cfg.Tenant, f.cfg.Aim
+	for _, id := range f.cfg.Open {
+		w.ends[id] = nil
+	}
 	w.holder = takeover.NewHolder(*f.cfg.Work, f.cfg.Name, logOf{f})
 	w.holder.Back = func(calls []string) { f.woke(calls) }
 	w.vouched.Store(math.MaxInt64)
@@ -206,6 +219,9 @@
 			break
 		}
 		w.owner.Add(b.first, b.records)
+		if b.take != 0 {
+			w.safe = append(w.safe, b)
+		}
 	}
 	var ends []takeover.End
 	for {
@@ -233,7 +249,19 @@
 		sends = append(sends, w.owner.Tick(now)...)
 	}
 	f.sendWork(sends)
-	if len(acts.Adopt)+len(acts.Drop)+len(acts.Ends) > 0 {
+	if confirmed := w.owner.Confirmed(); len(w.safe) > 0 {
+		w.safe = slices.DeleteFunc(w.safe, func(b batch) bool {
+			ok := confirmed >= b.first+uint64(len(b.records))-1
+			if ok {
+				w.holder.Safe(b.take)
+			}
+			return ok
+		})
+		sends, more := w.holder.Output() // before the loop acts
+		f.sendWork(sends)
+		acts.Ends = append(acts.Ends, more.Ends...)
+	}
+	if acts.Take != 0 || len(acts.Drop)+len(acts.Ends) > 0 {
 		if len(acts.Adopt) > 0 {
 			f.cfg.Log.Warn().Str("event", "work_taken").Int("calls", len(acts.Adopt)).Msgf("work in hand: %d calls of routers that are lost are this one's now", len(acts.Adopt))
 		}
@@ -335,9 +363,14 @@
 		w.ceased = true
 		w.count.Ceased.Add(1)
 		w.giver.Cease()
-		f.cfg.Cease()
+		for _, id := range f.cfg.Cease() {
+			w.ends[id] = nil
+		}
 		f.cfg.Log.Warn().Str("event", "work_ceased").Msg("work in hand: no lease, and nobody vouches: what was in hand is another's, new calls go on")
-		f.flushWork()
+		f.flushWork(0)
+		for id := range w.mine {
+			w.ends[id] = nil
+		}
 		w.mine = map[string]bool{}
 		select {
 		case f.tasks <- func(time.Duration) { w.owner.Cease() }:
@@ -355,32 +388,95 @@
 		if !ok {
 			break
 		}
-		for _, c := range acts.Adopt {
-			if f.cfg.Adopt(c) {
-				w.mine[c.ID] = true
+		if acts.Take != 0 {
+			for _, c := range acts.Adopt {
 				w.giver.Adopt(c)
+				w.ends[c.ID] = nil
 			}
+			f.flushWork(acts.Take)
+			w.soon = append(w.soon, soon{w.giver.Number(), acts})
 		}
 		for _, id := range acts.Drop {
 			delete(w.mine, id)
+			delete(w.ends, id)
 			f.cfg.Drop(id)
 			w.giver.Settle(id)
 		}
 		for _, e := range acts.Ends {
-			f.cfg.Ended(e, f.settle(e.Call))
-		}
-		if len(acts.Adopt) > 0 {
-			f.cfg.Renew()
+			f.ended(e)
 		}
 	}
+	for len(w.soon) > 0 && w.upto.Load() >= w.soon[0].number {
+		f.act(w.soon[0].acts.Adopt)
+		w.soon = w.soon[1:]
+	}
 	if calls := w.woke.Swap(nil); calls != nil {
+		for _, id := range *calls {
+			delete(w.ends, id)
+		}
 		f.cfg.Taken(*calls)
 	}
 	if w.awake.Swap(false) {
 		f.cfg.Awake()
+		f.again()
+	}
+}
+
+// act has calls that were taken over be this router's.
+func (f *Fleet) act(list []takeover.Call) {
+	w := f.work
+	for _, c := range list {
+		e, there := w.ends[c.ID]
+		delete(w.ends, c.ID)
+		if !there { // dropped meanwhile
+			continue
+		}
+		if !f.cfg.Adopt(c) {
+			w.giver.Settle(c.ID)
+			continue
+		}
+		w.mine[c.ID] = true
+		if e != nil {
+			f.ended(*e)
+		}
+	}
+	if len(list) > 0 {
+		f.cfg.Renew()
+	}
+}
+
+// again has calls be this router's again that it had let go, or had before it was started anew, and that nobody has taken.
+func (f *Fleet) again() {
+	w := f.work
+	for _, id := range slices.Sorted(maps.Keys(w.ends)) {
+		if slices.ContainsFunc(w.soon, func(s soon) bool {
+			return slices.ContainsFunc(s.acts.Adopt, func(c takeover.Call) bool { return c.ID == id })
+		}) {
+			continue
+		}
+		e := w.ends[id]
+		delete(w.ends, id)
+		w.mine[id] = true
+		if e != nil {
+			f.ended(*e)
+		}
 	}
 }
 
+// ended takes the end of a call as another router has heard it.
+func (f *Fleet) ended(e takeover.End) {
+	w := f.work
+	if e.Tell {
+		f.cfg.Tell(e)
+		return
+	}
+	if _, waits := w.ends[e.Call]; waits {
+		w.ends[e.Call] = &e
+		return
+	}
+	f.cfg.Ended(e, f.settle(e.Call))
+}
+
 // settle notes the end of a call that was taken over; false: it is none.
 func (f *Fleet) settle(id string) bool {
 	mine := f.work.mine[id]
@@ -395,22 +491,27 @@
 func (f *Fleet) Heard(id string, how uint8, byCaller bool) bool {
 	w := f.work
 	mine := f.settle(id)
-	if !w.heard.TryEnqueue(takeover.End{Call: id, How: how, At: time.Now().UnixMilli(), By: byCaller}) {
+	e := takeover.End{Call: id, How: how, At: time.Now().UnixMilli(), By: byCaller}
+	_, waits := w.ends[id]
+	if waits {
+		w.ends[id] = &e
+	}
+	if !w.heard.TryEnqueue(e) {
 		w.count.Missed.Add(1)
 	}
 	select {
 	case w.poke <- struct{}{}:
 	default:
 	}
-	return mine || !w.linked.Load()
+	return mine || !waits && !w.linked.Load()
 }
 
 // flushWork hands the core what has been recorded.
-func (f *Fleet) flushWork() (kept uint64) {
+func (f *Fleet) flushWork(take uint64) (kept uint64) {
 	w := f.work
 	first, list, kept := w.giver.Take(nil)
-	if len(list) > 0 {
-		if !w.records.TryEnqueue(batch{first, list}) {
+	if len(list) > 0 || take != 0 {
+		if !w.records.TryEnqueue(batch{take, first, list}) {
 			w.count.Missed.Add(uint64(len(list)))
 		}
 		select {
@@ -438,7 +539,7 @@
 	if g.inner != nil {
 		inner = g.inner.Commit()
 	}
-	kept := g.f.flushWork()
+	kept := g.f.flushWork(0)
 	if kept == g.kept && inner == g.last { // nothing has come that this turn's bytes would have to wait for beyond the turn before
 		return w.ticket
 	}
@@ -485,6 +586,12 @@
 // leaveWork tells holders that this router has stopped acting; it is the core's.
 func (f *Fleet) leaveWork(now time.Duration) {
 	f.labour(now)
+	if f.owed != nil {
+		w := f.work
+		w.holder.Tell(f.owed)
+		sends, _ := w.holder.Output()
+		f.sendWork(sends)
+	}
 	f.work.left = true
 	f.sendWork(f.work.owner.Leave(now))
 }
--- a/internal/ledgerio/carrier.go
+++ b/internal/ledgerio/carrier.go
@@ -194,8 +194,8 @@
 // Drop takes a call out of the books that is in another router's.
 func (c *Carrier) Drop(id string) { c.keeper.Drop(ledger.CallKey(id)) }
 
-// Sleep has calls from before wait for Wake.
-func (c *Carrier) Sleep() { c.keeper.Sleep() }
+// Sleep has calls from before wait for Wake, and names them.
+func (c *Carrier) Sleep() []string { return c.keeper.Sleep() }
 
 // Wake says which of them others have taken over.
 func (c *Carrier) Wake(taken []string) { c.keeper.Wake(taken) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -254,6 +254,9 @@
 	n.log.Info().Str("event", "counters").Msgf("counters %s", n.Counters())
 	n.Loop.Close()
 	if n.fleet != nil {
+		if n.fleet.Works() {
+			n.owe()
+		}
 		err = errors.Join(err, n.fleet.Close())
 	}
 	if n.ledger != nil {
--- a/internal/node/product.go
+++ b/internal/node/product.go
@@ -295,12 +295,14 @@
 // takeover joins what is in hand to the fleet: what is let go, and what is taken.
 func (n *Node) takeover(c *fleetio.Config) {
 	if n.ledger != nil {
-		n.ledger.Sleep()
+		c.Open = n.ledger.Sleep()
 	}
-	c.Cease = func() {
-		n.Router.Cease()
+	c.Cease = func() []string {
+		standing := n.Router.Cease()
 		n.trunk.Cease()
+		return standing
 	}
+	c.Tell = func(e takeover.End) { n.front.Orphan(e.Call, threadglade.Outcome(e.How)) }
 	c.Adopt = func(t takeover.Call) bool {
 		if !t.Stands { // nobody waits for its answer any more
 			n.trunk.Withdraw(t.Server, t.ID, "0")
@@ -350,6 +352,15 @@
 	}
 }
 
+// owe names the callers that could not be told of their calls' ends.
+func (n *Node) owe() {
+	var list []takeover.End
+	for _, o := range n.front.Owed() {
+		list = append(list, takeover.End{Call: o.ID, How: uint8(o.How), Tell: true})
+	}
+	n.fleet.Owe(list)
+}
+
 // limiter stands before the decisions where the fleet has limits: it asks the router's own shares, and hears when calls are over.
 type limiter struct {
 	n    *Node
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -212,6 +212,20 @@
 	}
 }
 
+// Owed is a release that found no caller's connection.
+type Owed struct {
+	ID  string
+	How threadglade.Outcome
+}
+
+// Owed are the releases that wait for a connection.
+func (f *Front) Owed() (list []Owed) {
+	for _, o := range f.owed {
+		list = append(list, Owed{o.id, o.how})
+	}
+	return list
+}
+
 // Orphan passes on the release of a call of an earlier life of this router.
 func (f *Front) Orphan(id string, how threadglade.Outcome) { f.release(nil, id, how) }
 
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -320,13 +320,15 @@
 	}
 }
 
-// Sleep has calls of earlier lives wait for word of what others have taken over: their ends are kept meanwhile.
-func (k *Keeper) Sleep() {
+// Sleep has calls of earlier lives wait for word of what others have taken over, and names them: their ends are kept meanwhile.
+func (k *Keeper) Sleep() (ids []string) {
 	if k.asleep = map[uint64]*heard{}; mutant != "own-books" {
 		for call := range k.old {
 			k.asleep[call] = &heard{}
+			ids = append(ids, CallText(call))
 		}
 	}
+	return ids
 }
 
 // Wake takes that word: what others have is dropped, and what is left is this router's, with the ends that were heard.
--- a/router/router.go
+++ b/router/router.go
@@ -329,8 +329,8 @@
 }
 
 // Cease lets go of all that is in hand, which another router takes over: what waits is refused, what is out given up, and of what stands nothing is told to anybody. Whoever owns the trunk has it
-// let go in the same step.
-func (r *Router) Cease() {
+// let go in the same step. It returns the calls that stood, and is for between calls of other methods.
+func (r *Router) Cease() (standing []string) {
 	r.do(nil, func([]byte) {
 		for _, id := range slices.Sorted(maps.Keys(r.calls)) {
 			c := r.calls[id]
@@ -338,6 +338,7 @@
 			case c == nil:
 			case c.standing:
 				r.count.Ceded++
+				standing = append(standing, id)
 				r.observe(Ceded, c)
 				r.end(c, threadglade.Cancelled, threadglade.CauseNone, false)
 				delete(r.over, id) // its end may come here all the same: as one of another's
@@ -349,6 +350,7 @@
 			}
 		}
 	})
+	return standing
 }
 
 // stray counts a release that is to be passed on, and says whether it may be.
--- a/takeover/holder.go
+++ b/takeover/holder.go
@@ -31,7 +31,6 @@
 	left    bool          // its owner has stopped acting by its own word
 	sent    string        // to whom it was let go, and
 	at      time.Duration // when
-	safe    time.Duration // when that confirmed it; 0: it has not. The copy is kept for a while, should the heir be lost before its own holders have it
 }
 
 // taken is what this router has taken over of one incarnation.
@@ -42,6 +41,12 @@
 	told   time.Duration // when its owner was last told
 }
 
+// waiting are the routers that let copies go, to be answered once what they hold is safe here, and own copies to be kept until then.
+type waiting struct {
+	replies []Send
+	own     []*held
+}
+
 // Log is what a holder knows of the agreed log.
 type Log interface {
 	// Over says whether an incarnation is over.
@@ -69,6 +74,9 @@
 	links  []string       // routers that are linked: what was heard goes on to them
 	adopt  []Call
 	drop   []string
+	next   waiting            // what the next Output brings
+	outs   uint64             // Outputs that brought something to take
+	waits  map[uint64]waiting // by those, until what they brought is safe
 	out    []Send
 	backs  map[key]bool // earlier incarnations of this router, whose heirs have told
 	Back   func(calls []string)
@@ -78,7 +86,7 @@
 
 // NewHolder makes one that holds nothing.
 func NewHolder(t Terms, name string, log Log) *Holder {
-	return &Holder{Terms: t, Name: name, Log: log, copies: map[key]*held{}, taken: map[key]*taken{}, in: map[string]bool{}, known: map[string]End{}, backs: map[key]bool{}}
+	return &Holder{Terms: t, Name: name, Log: log, copies: map[key]*held{}, taken: map[key]*taken{}, waits: map[uint64]waiting{}, in: map[string]bool{}, known: map[string]End{}, backs: map[key]bool{}}
 }
 
 // Hear takes a frame of another router. Number is the incarnation by which this router acts, 0 without a lease; now is on its clock.
@@ -99,11 +107,11 @@
 		reply(&takeoverpb.Frame{What: &takeoverpb.Frame_Confirm{Confirm: c}})
 	case f.GetPass() != nil:
 		if h.pass(now, from, k, f.GetPass(), number) {
-			reply(&takeoverpb.Frame{What: &takeoverpb.Frame_Passed{Passed: &takeoverpb.Passed{Number: f.GetPass().Number}}})
+			h.next.replies = append(h.next.replies, Send{from, &takeoverpb.Frame{Owner: f.Owner, Incarnation: f.Incarnation, What: &takeoverpb.Frame_Passed{Passed: &takeoverpb.Passed{Number: f.GetPass().Number}}}})
 		}
 	case f.GetPassed() != nil:
-		if c := h.copies[k]; c != nil && c.sent == from && c.number <= f.GetPassed().Number && c.safe == 0 {
-			c.safe = now
+		if c := h.copies[k]; c != nil && c.sent == from && c.number <= f.GetPassed().Number {
+			h.forget(c)
 		}
 	case f.GetHeard() != nil:
 		if len(f.GetHeard().Ends) > pageMost {
@@ -112,8 +120,12 @@
 		}
 		var list []End
 		for _, e := range f.GetHeard().Ends {
-			if len(e.Call) > 0 && len(e.Call) <= idMost {
-				list = append(list, End{e.Call, uint8(e.How), e.At, e.ByCaller})
+			switch {
+			case len(e.Call) == 0 || len(e.Call) > idMost:
+			case e.Tell: // a caller that its router can tell no more
+				h.fresh = append(h.fresh, End{e.Call, uint8(e.How), e.At, e.ByCaller, true})
+			default:
+				list = append(list, End{e.Call, uint8(e.How), e.At, e.ByCaller, false})
 			}
 		}
 		h.Ended(now, from, list)
@@ -221,14 +233,13 @@
 			h.Count.Lost += uint64(len(c.calls))
 			h.forget(c)
 		case heir == h.Name && of == number || mutant == "every-holder":
-			h.take(now, k, c.number, c.calls)
-			h.forget(c)
-		case c.sent == heir && c.safe != 0:
-			if now-c.safe > 2*h.Terms.Wait() {
-				h.forget(c)
+			if c.sent != h.Name {
+				c.sent = h.Name
+				h.take(now, k, c.number, c.calls)
+				h.next.own = append(h.next.own, c)
 			}
 		case heir != "" && heir != h.Name && (c.sent != heir || now-c.at > passAgain):
-			c.sent, c.at, c.safe = heir, now, 0
+			c.sent, c.at = heir, now
 			h.Count.LetGo++
 			h.letGo(c)
 		}
@@ -354,6 +365,17 @@
 // Linked are the routers that there are links to.
 func (h *Holder) Linked(names []string) { h.links = names }
 
+// Tell has another router tell callers of ends that this one cannot any more; false: none is linked.
+func (h *Holder) Tell(list []End) bool {
+	if len(h.links) == 0 {
+		return false
+	}
+	for part := range slices.Chunk(list, pageMost) {
+		h.out = append(h.out, heard(h.links[0], part))
+	}
+	return true
+}
+
 // Greet tells a router whose link has just opened the ends that are remembered: while there was none they may have passed it by.
 func (h *Holder) Greet(name string) {
 	for list := range slices.Chunk(h.ends, pageMost) {
@@ -400,21 +422,39 @@
 func heard(to string, list []End) Send {
 	m := &takeoverpb.Heard{}
 	for _, e := range list {
-		m.Ends = append(m.Ends, &takeoverpb.End{Call: e.Call, How: uint32(e.How), At: e.At, ByCaller: e.By})
+		m.Ends = append(m.Ends, &takeoverpb.End{Call: e.Call, How: uint32(e.How), At: e.At, ByCaller: e.By, Tell: e.Tell})
 	}
 	return Send{to, &takeoverpb.Frame{What: &takeoverpb.Frame_Heard{Heard: m}}}
 }
 
 // Acts is what there is to do, in this order: calls to take, calls taken that are over in their owner's books, and ends that were heard, of calls that may be this router's.
 type Acts struct {
+	Take  uint64 // what is to be safe before it is acted on: Safe has to be told; 0: nothing is
 	Adopt []Call
 	Drop  []string
 	Ends  []End
 }
 
+// Safe is told that what an Output brought to take is in the copies of this router's own holders: whoever let it go is answered before anything is done about it, so that nobody takes it again.
+func (h *Holder) Safe(take uint64) {
+	w := h.waits[take]
+	delete(h.waits, take)
+	h.out = append(h.out, w.replies...)
+	for _, c := range w.own {
+		if h.copies[c.key] == c {
+			h.forget(c)
+		}
+	}
+}
+
 // Output returns what is to be sent and done.
 func (h *Holder) Output() (send []Send, acts Acts) {
-	send, acts = h.out, Acts{h.adopt, h.drop, h.fresh}
+	send, acts = h.out, Acts{Adopt: h.adopt, Drop: h.drop, Ends: h.fresh}
+	if len(h.adopt)+len(h.next.replies)+len(h.next.own) > 0 {
+		h.outs++
+		acts.Take = h.outs
+		h.waits[h.outs], h.next = h.next, waiting{}
+	}
 	h.out, h.adopt, h.drop, h.fresh = nil, nil, nil, nil
 	return send, acts
 }
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -94,6 +94,7 @@
 	How  uint8
 	At   int64 // Unix milliseconds
 	By   bool  // its caller has released it
+	Tell bool  // its books are closed, but its caller has still to hear
 }
 
 // Giver turns what the router tells into records. It is the loop's.
@@ -188,6 +189,9 @@
 	return g.number - uint64(len(list)) + 1, list, g.kept
 }
 
+// Number is that of the latest record.
+func (g *Giver) Number() uint64 { return g.number }
+
 // Waiting says whether there is something to take.
 func (g *Giver) Waiting() bool { return len(g.out) > 0 }
 
