--- a/cmd/threadglade/bench_test.go
+++ b/cmd/threadglade/bench_test.go
@@ -31,7 +31,7 @@
 //	go test ./cmd/threadglade -run '^$' -bench Serve -benchtime 1x -timeout 20m
 //
 // OTHER names another build of the program, to be measured beside this one with everything off; MODES is which of off, ledger, trace,
-// fleet, verdicts and other are measured.
+// fleet, verdicts, kept, fast (work in hand, with two more routers of the fleet that hold it) and other are measured.
 
 // outcome is what one measured life of a router comes to.
 type outcome struct {
@@ -55,9 +55,14 @@
 		args = append(args, "--settings", s.keepers(b, "", ""))
 	case "verdicts": // on top of the fleet
 		args = append(args, "--settings", s.keepers(b, fmt.Sprintf(`(listen %q) (zone "a")`, port(b)), `(verdicts)`))
+	case "kept", "fast": // on top of the fleet
+		args = append(args, "--settings", s.keepers(b, fmt.Sprintf(`(listen %q) (zone "a")`, port(b)), `(takeover (mode `+mode+`))`, "b", "c"))
 	}
 	c := startProgram(b, program, s.config("n0", listen), args...)
 	c.await(b)
+	if mode == "kept" || mode == "fast" {
+		time.Sleep(3 * time.Second) // until the others hold a copy
+	}
 	ctx, cancel := context.WithTimeout(b.Context(), span)
 	defer cancel()
 	cfg := standin.LoadConfig{Target: func() string { return listen }, Connections: 64, Window: 6, Rate: rate, Seed: 2, Classes: []string{"voice"}, Numbers: []string{"92"}, Record: rate > 0}
@@ -101,8 +106,8 @@
 	return o
 }
 
-// keepers starts three of them and returns the settings of a router of their fleet, with more in its section and beside it.
-func (s *stage) keepers(b *testing.B, more, beside string) string {
+// keepers starts three of them and returns the settings of a router of their fleet, with more in its section and beside it; in each of the other zones one more router is started.
+func (s *stage) keepers(b *testing.B, more, beside string, zones ...string) string {
 	var section strings.Builder
 	for i := range 3 {
 		fmt.Fprintf(&section, `(keeper "k%d" (address %q))`, i, port(b))
@@ -117,6 +122,11 @@
 		k := startProgram(b, os.Args[0], nil, "fleet", "keeper", "--name", name, "--settings", s.file(name, fmt.Sprintf(text, filepath.Join(out, name))))
 		b.Cleanup(k.kill)
 	}
+	for i, zone := range zones {
+		name := fmt.Sprintf("n%d", i+1)
+		other := startProgram(b, os.Args[0], s.config(name, port(b)), "serve", "--settings", s.file(name, fmt.Sprintf(`(threadglade (fleet (name "bench") (members "n*") `+section.String()+` (listen %q) (zone %q)) %s)`, port(b), zone, beside)))
+		b.Cleanup(other.kill)
+	}
 	return s.file("router", fmt.Sprintf(`(threadglade (fleet (name "bench") (members "n*") `+section.String()+` %s) %s)`, more, beside))
 }
 
--- a/takeover/holder.go
+++ b/takeover/holder.go
@@ -12,6 +12,9 @@
 
 // A router's part for others: this file owns the copies it holds, when it lets one go and to whom, and what it has taken over as an heir.
 
+// dueEvery is how often what waits for others is looked at.
+const dueEvery = 20 * time.Millisecond
+
 // passAgain is how long a copy that was let go may stay unconfirmed until it is sent again.
 const passAgain = 500 * time.Millisecond
 
@@ -143,7 +146,8 @@
 		}
 		h.Ended(now, from, list)
 	case f.GetBack() != nil:
-		if f.Owner != h.Name || len(f.GetBack().Calls) > pageMost {
+		if f.Owner != h.Name || len(f.GetBack().Calls) > pageMost || len(h.coming) > takenMost {
+			h.coming = nil
 			h.Count.Refused++
 			return
 		}
@@ -308,7 +312,7 @@
 		t.coming[from] = table{}
 	}
 	coming := t.coming[from]
-	if coming == nil {
+	if coming == nil || len(coming)+len(list) > callsMost {
 		return false
 	}
 	for i := range list {
@@ -526,13 +530,13 @@
 func (h *Holder) Due(now time.Duration) time.Duration {
 	at := time.Duration(math.MaxInt64)
 	for k, c := range h.copies {
-		if h.Log.Over(k.owner, k.incarnation) {
-			at = min(at, max(c.vouched, c.at+passAgain, now+time.Millisecond))
+		if heir, _, over := h.Log.HeirOf(k.owner, k.incarnation); over && heir != "" {
+			at = min(at, max(c.vouched, c.at+passAgain, now+dueEvery))
 		}
 	}
 	for k, t := range h.taken {
 		if len(t.have) > 0 {
-			at = min(at, now+10*time.Millisecond)
+			at = min(at, now+dueEvery)
 		}
 		if t.owes() && h.Log.Lives(k.owner) {
 			at = min(at, t.told+passAgain)
