--- a/internal/fleetio/work.go
+++ b/internal/fleetio/work.go
@@ -71,6 +71,7 @@
 	waiting []ticket
 	ticket  uint64
 	hands   *takeover.Hands
+	late    []batch // that the core has had no room for
 	// Of the core.
 	owner  *takeover.Owner
 	holder *takeover.Holder
@@ -91,7 +92,7 @@
 	poke    chan struct{}
 	woke    atomic.Pointer[[]string] // what was taken from this router; taken by the loop
 	awake   atomic.Bool              // no more was
-	count   struct{ Hurried, Alone, Missed atomic.Uint64 }
+	count   struct{ Hurried, Alone, Missed, Late atomic.Uint64 }
 }
 
 // ticket is one turn's bytes: they may leave once the inner gate has let them, and a holder has the record.
@@ -404,23 +405,30 @@
 // flushWork hands the core what has been recorded.
 func (f *Fleet) flushWork(take uint64, cease bool) (kept uint64) {
 	w := f.work
-	first, list, kept := w.giver.Take(nil)
-	if len(list) > 0 || take != 0 || cease {
-		if !w.records.TryEnqueue(batch{take, cease, first, list}) {
-			w.count.Missed.Add(uint64(len(list)))
-			if cease { // it must not go on as if it had what it let go
-				select {
-				case f.tasks <- func(now time.Duration) { f.sendWork(w.owner.Cease(now)) }:
-				default:
-				}
-			}
-		}
-		select {
-		case w.poke <- struct{}{}:
-		default:
+	w.hand()
+	if take != 0 || cease || len(w.late) == 0 { // else they stay with the giver: none may be missing among those that holders have
+		first, list, _ := w.giver.Take(nil)
+		if len(list) == 0 && take == 0 && !cease {
+			return w.giver.Kept()
 		}
+		w.late = append(w.late, batch{take, cease, first, list})
+		w.hand()
+	}
+	if len(w.late) > 0 {
+		w.count.Late.Add(1)
+	}
+	select {
+	case w.poke <- struct{}{}:
+	default:
+	}
+	return w.giver.Kept()
+}
+
+// hand gives the core what it has room for.
+func (w *work) hand() {
+	for len(w.late) > 0 && w.records.TryEnqueue(w.late[0]) {
+		w.late = w.late[1:]
 	}
-	return kept
 }
 
 // Hold puts the work's gate before another: the bytes of a turn leave once the other lets them, and a holder has what they tell of kept classes.
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -182,6 +182,9 @@
 	}
 }
 
+// Kept is the number of the latest record that an answer waits for.
+func (g *Giver) Kept() uint64 { return g.kept }
+
 // Take returns the records since the last time, with the number of the first, in place of which it fills the given slice. Kept is the number of the latest that an answer waits for.
 func (g *Giver) Take(next []Record) (first uint64, list []Record, kept uint64) {
 	list = g.out
