Ledger: a test of calls taken, taken over and let go; a built-in fault that nothing found is gone

Need: Adopt, Drop, Sleep, Wake and Ceded were tried by drills alone; the fault own-books had no test that finds it. Change: TestTaken: five calls over two crashes, each counted once or by whose it is; the fault is removed. Measured: go test ./ledger passes, and fails with Wake ignoring what others took.

--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -322,11 +322,10 @@
 
 // Sleep has calls of earlier lives wait for word of what others have taken over, and names them: their ends are kept meanwhile.
 func (k *Keeper) Sleep() (ids []string) {
-	if k.asleep = map[uint64]*heard{}; mutant != "own-books" {
-		for call := range k.old {
-			k.asleep[call] = &heard{}
-			ids = append(ids, CallText(call))
-		}
+	k.asleep = map[uint64]*heard{}
+	for _, call := range slices.Sorted(maps.Keys(k.old)) {
+		k.asleep[call] = &heard{}
+		ids = append(ids, CallText(call))
 	}
 	return ids
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -313,6 +313,52 @@
 	require.Empty(t, b.book(t).Calls)
 }
 
+// TestTaken: of three calls open at a crash another router has taken one; of the two others the end of one came while that was not known. A fourth is taken over from another, a fifth let go while it
+// stood. Each is counted once, or not at all where it is another's.
+func TestTaken(t *testing.T) {
+	b := newBench(t, 0)
+	ids := []string{"00000000000000a1", "00000000000000a2", "00000000000000a3"}
+	for _, id := range ids {
+		b.stand(id)
+	}
+	b.take()
+	b.crash()
+	require.Equal(t, ids, b.keeper.Sleep())
+	b.tell(router.OrphanRelease, ids[0], router.Event{Outcome: threadglade.Concluded})
+	b.tell(router.OrphanRelease, ids[1], router.Event{Outcome: threadglade.Concluded})
+	require.Zero(t, b.keeper.Counters().Recovered, "nobody knows yet whose they are")
+	b.keeper.Wake([]string{ids[1]})
+	require.Equal(t, uint64(1), b.keeper.Counters().Recovered)
+	b.tell(router.OrphanRelease, ids[2], router.Event{Outcome: threadglade.Cut})
+
+	taken := Taken{ID: "00000000000000b1", Tenant: "kda", Class: "voice", Server: "s9", InTime: true, Stood: b.wall - 500}
+	require.True(t, b.keeper.Adopt(taken))
+	require.False(t, b.keeper.Adopt(taken), "it is in the books")
+	b.take()
+	b.crash() // what was taken over outlives this router, too
+	b.tell(router.OrphanRelease, taken.ID, router.Event{Outcome: threadglade.Concluded})
+
+	b.stand("00000000000000c1")
+	b.tell(router.Ceded, "00000000000000c1", router.Event{})
+	b.finish("00000000000000c1", threadglade.Cancelled) // as its router lets go: no end
+	b.take()
+	require.Len(t, b.book(t).Calls, 1)
+	b.keeper.Drop(CallKey("00000000000000c1"))
+	b.take()
+	require.Empty(t, b.book(t).Calls)
+	b.wait(2 * minute)
+	b.keeper.Tick()
+	b.take()
+	list, c := b.statements(t)
+	u := total(list, c)
+	require.NoError(t, u.Balance())
+	require.Equal(t, int64(3), u[Offered], "two of its own and the one taken over")
+	require.Equal(t, int64(3), u[StoodInTime])
+	require.Equal(t, int64(2), u[Concluded])
+	require.Equal(t, int64(1), u[Cut])
+	require.Zero(t, u[Unknown])
+}
+
 // TestTrim: a new life keeps the names of calls that are open, and no others.
 func TestTrim(t *testing.T) {
 	b := newBench(t, 0)
