Tests: addresses of started processes come from below the range of outgoing connections

Cause, by reading and not reproduced: port() of the commands' tests took a port of the range for outgoing connections and freed it; with 17 more drills' connections beside, one of them can have it before the keeper binds. Drills choose below that range already. Change: one standin.Port for drills and tests; the test waits for the keeper first, and would say that it is the keeper.

--- a/cmd/threadglade/child_test.go
+++ b/cmd/threadglade/child_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -228,12 +227,7 @@
 }
 
 // port finds an address that nobody listens at.
-func port(t testing.TB) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
+func port(testing.TB) string { return standin.Port() }
 
 // config writes a router's configuration and returns the environment that names it.
 func (s *stage) config(name, listen string) []string {
--- a/cmd/threadglade/upgrade_test.go
+++ b/cmd/threadglade/upgrade_test.go
@@ -316,7 +316,8 @@
   (limits (limit "all" (rate 2000))))`, filepath.Join(dir, "k"), port(t)))
 	out, code := tool(t, "fleet", "found", "--settings", path, "-o", dir)
 	require.Zero(t, code, out)
-	start(t, nil, "fleet", "keeper", "--settings", path, "--name", "k")
+	keeper := start(t, nil, "fleet", "keeper", "--settings", path, "--name", "k")
+	require.Eventually(t, func() bool { return strings.Contains(keeper.log(), "fleet_keeping") }, 10*time.Second, 10*time.Millisecond, "the keeper has not started")
 	u.more = []string{"--settings", path}
 	v := u.start()
 	require.Eventually(t, func() bool { return strings.Contains(v.log(), "fleet_granted") }, 10*time.Second, 10*time.Millisecond, v.log())
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -185,21 +184,6 @@
 	return r
 }
 
-var portNext atomic.Uint32
-
-// port finds an address below the range that outgoing connections take.
-func port() string {
-	portNext.CompareAndSwap(0, rand.Uint32N(12000)+1)
-	for {
-		n := 18000 + portNext.Add(1)%14000
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", n))
-		if err == nil {
-			l.Close()
-			return l.Addr().String()
-		}
-	}
-}
-
 // Run carries a drill out and judges it. An error means that it could not be carried out; what did not hold is in the result.
 func Run(ctx context.Context, plan *Plan, opt Options) (*Result, error) {
 	if opt.Say == nil {
@@ -302,14 +286,14 @@
 		id := fmt.Sprintf("k%d", i+1)
 		terms.Keepers = append(terms.Keepers, id)
 		s.order = append(s.order, id)
-		s.procs[id] = &proc{id: id, name: id, listen: port(), dir: filepath.Join(s.opt.Dir, id)}
+		s.procs[id] = &proc{id: id, name: id, listen: standin.Port(), dir: filepath.Join(s.opt.Dir, id)}
 	}
 	for i := range s.plan.Routers {
 		id := fmt.Sprintf("r%d", i+1)
 		s.order = append(s.order, id)
-		s.procs[id] = &proc{id: id, name: id, listen: port(), dir: filepath.Join(s.opt.Dir, id)}
+		s.procs[id] = &proc{id: id, name: id, listen: standin.Port(), dir: filepath.Join(s.opt.Dir, id)}
 		if s.plan.Zones > 0 {
-			s.procs[id].talks = port()
+			s.procs[id].talks = standin.Port()
 		}
 	}
 	founded, err := fleet.Found(terms, rand.New(rand.NewPCG(1, 1)))
@@ -792,7 +776,7 @@
 	id := p.id + "+"
 	other := s.procs[id]
 	if other == nil {
-		other = &proc{id: id, name: p.name, listen: port(), talks: p.talks, dir: filepath.Join(s.opt.Dir, p.id+"-twin")}
+		other = &proc{id: id, name: p.name, listen: standin.Port(), talks: p.talks, dir: filepath.Join(s.opt.Dir, p.id+"-twin")}
 		s.procs[id] = other
 		if err := s.settings(other); err != nil {
 			return err
