Review, case 2: a planned restart drops callers' releases that it has answered

Cause: 0.76 s after SIGTERM a process with an operators' address half-closes its connections to case servers, and for half a second goes on answering callers' releases with 200 that it can pass to nobody. TMPDIR is a folder of its own, emptied at a restart; stand-ins that only that case used are gone.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,28 +1,25 @@
-// Command case runs a case of the review: a router of a fleet is killed, and the router that takes its calls over has no
-// callers of its own. It must not be run by hand: run.sh passes the repository's root and the folder for the record.
+// Command case runs a case of the review: a planned restart while callers hang up. It must not be run by hand: run.sh
+// passes the repository's root and the folder for the record.
 package main
 
 import (
 	"fmt"
 	"os"
-	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 
-	"threadglade.example/threadglade/fleet"
-	"threadglade.example/threadglade/fleet/fleetpb"
 	"threadglade.example/threadglade/internal/standin"
 	"threadglade.example/threadglade/review/stand"
 )
 
 const (
-	rate   = 20                                  // calls a second at the router that is killed
-	held   = 8 * time.Second                     // from the answer to the end by the case server; the site has 7.7 to 11 s on average
-	back   = 4 * time.Second                     // how long the router is away; the pages have 1.1 to 6.4 s
-	before = 9 * time.Second                     // until the router is killed
-	after  = 10 * time.Second                    // for which calls go on once it is back
-	due    = 8*time.Second + 50*time.Millisecond // after its end a caller has to know of it in any case
+	rate    = 30                                   // set-ups, and later releases, a second; the pages have 50
+	before  = 12 * time.Second                     // for which calls are set up, up to SIGTERM
+	held    = 8 * time.Second                      // from the set-up to the caller's release; the site has 7.2 to 11 s on average
+	killAt  = 9*time.Second + 700*time.Millisecond // from SIGTERM to SIGKILL: the longest deadline and 0.7 s
+	back    = 200 * time.Millisecond               // from the end of the process to the next start
+	due     = 8*time.Second + 50*time.Millisecond
+	pending = 2 * time.Second // how long a caller waits for the answer to its release before it says it again
 )
 
 func main() {
@@ -42,188 +39,131 @@
 	return 2
 }
 
-// names returns the router to be killed, the one that is to take over from it, and the third. As docs/operators/takeover.md
-// says, the program alone decides that, by the names.
-func names() (killed, successor, third string) {
-	all := []string{"n0", "n1", "n2"}
-	var members []*fleetpb.Member
-	for _, name := range all {
-		members = append(members, &fleetpb.Member{Name: name, Live: true, Address: "127.0.0.1:1"})
+// hangUpAll releases the calls in order, at the rate of the case, each when it has been held long enough. A release for
+// which there is no connection waits for the next one; one that is not answered is said again.
+func hangUpAll(rec *stand.Record, caller *stand.Caller, ids []string, begin time.Time) {
+	tick := time.NewTicker(time.Second / rate)
+	defer tick.Stop()
+	for i, id := range ids {
+		<-tick.C
+		time.Sleep(time.Until(begin.Add(time.Duration(i)*time.Second/rate + held)))
+		for !caller.HangUp(id) {
+			time.Sleep(10 * time.Millisecond)
+		}
 	}
-	killed = all[0]
-	successor = fleet.Successors(killed, "", members, 1)[0].Name
-	for _, name := range all[1:] {
-		if name != successor {
-			third = name
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for id, call := range caller.Calls() {
+			if call.Status == 200 && call.HeardAt.IsZero() && time.Since(call.HungUpAt) > pending {
+				rec.Printf("caller: the release of %s was not answered", id)
+				<-tick.C
+				caller.HangUp(id)
+			}
 		}
 	}
-	return killed, successor, third
 }
 
 func run(rec *stand.Record, root string) int {
 	trouble := stand.Trouble()
 	rec.Printf("trouble: %v", trouble)
 	var servers []*stand.Server
+	var entries []standin.Entry
 	for i := range 2 {
 		server, err := stand.NewServer(rec, fmt.Sprintf("s-%08x", i+1), i, 20*time.Millisecond)
 		if err != nil {
 			return failed(rec, "case server", err)
 		}
 		defer server.Close()
-		server.Hold = held
-		servers = append(servers, server)
+		servers, entries = append(servers, server), append(entries, server.Entry())
 	}
-
-	// Three routers, and three keepers, with the settings that docs/operators/takeover.md asks for.
-	killed, successor, third := names()
-	rec.Printf("%s is to be killed, %s to take over, %s is the third", killed, successor, third)
-	platforms := map[string]*stand.Platform{}
-	for _, name := range []string{killed, successor, third} {
-		// Each router reaches the other parties at addresses of its own.
-		var entries []standin.Entry
-		for _, server := range servers {
-			entry, err := server.ListenFor(name)
-			if err != nil {
-				return failed(rec, "case server", err)
-			}
-			entries = append(entries, entry)
-		}
-		service, err := standin.NewNameService(1, false)
-		if err != nil {
-			return failed(rec, "name service", err)
-		}
-		defer service.Close()
-		service.SetServers(1, entries)
-		site := stand.Texas
-		site.Router = name
-		platform, err := stand.NewPlatform(rec, root, site, service.Addr(), entries)
-		if err != nil {
-			return failed(rec, "platform", err)
-		}
-		defer platform.Close()
-		platforms[name] = platform
-	}
-	keepers, addresses := "", []string{}
-	for i := range 3 {
-		addresses = append(addresses, stand.FreePort())
-		keepers += fmt.Sprintf("    (keeper \"k%d\" (address %q))\n", i+1, addresses[i])
-	}
-	section := func(fields, rest string) string {
-		return fmt.Sprintf("(threadglade\n  (fleet (name \"review\") (lease 3s) (renew 1s) (members \"n*\") %s\n%s)\n%s)\n", fields,
-			keepers, rest)
+	names, err := standin.NewNameService(1, false)
+	if err != nil {
+		return failed(rec, "name service", err)
 	}
-	base := platforms[killed]
-	found, err := base.Write("found.edn", section("", ""))
+	defer names.Close()
+	names.SetServers(1, entries)
+	platform, err := stand.NewPlatform(rec, root, stand.LahoreKarachi, names.Addr(), entries)
 	if err != nil {
-		return failed(rec, "settings", err)
+		return failed(rec, "platform", err)
 	}
-	folders := filepath.Join(base.Dir(), "fleet")
-	once, err := base.StartCommand("found", fmt.Sprintf("exec bin/threadglade fleet found --settings %s -o %s", found, folders), false)
-	if err != nil || !once.AwaitEnd(10*time.Second) {
-		return failed(rec, "fleet found", err)
+	defer platform.Close()
+	router, err := platform.Start("router", true)
+	if err != nil || !platform.AwaitTest(30*time.Second) {
+		return failed(rec, "the router isn't ready", err)
 	}
-	for i := range 3 {
-		name := fmt.Sprintf("k%d", i+1)
-		settings, err := base.Write(name+".edn", section(fmt.Sprintf("(directory %q)", filepath.Join(folders, name)), ""))
-		if err != nil {
-			return failed(rec, "settings", err)
-		}
-		keeper, err := base.StartCommand(name, fmt.Sprintf("exec bin/threadglade fleet keeper --settings %s --name %s", settings, name), false)
-		if err != nil || keeper.AwaitEnd(300*time.Millisecond) {
-			return failed(rec, "keeper "+name, err)
-		}
+	caller := stand.NewCaller(rec, "caller", platform.Listen)
+	defer caller.Close()
+	time.Sleep(1500 * time.Millisecond)
+
+	// Calls at a steady rate up to SIGTERM, none after it. Their caller ends each of them.
+	var ids []string
+	begin := time.Now()
+	for i := range int(before.Seconds() * rate) {
+		ids = append(ids, fmt.Sprintf("%016x", 0xb1000000+i))
 	}
-	routers := map[string]*stand.Router{}
-	for name, platform := range platforms {
-		settings, err := platform.Write("threadglade.edn", section(fmt.Sprintf("(listen %q)", stand.FreePort()), "  (takeover)\n"))
-		if err != nil {
-			return failed(rec, "settings", err)
-		}
-		platform.Flags = " --settings " + settings
-		router, err := platform.Start(name, false)
-		if err != nil || !platform.AwaitTest(30*time.Second) {
-			return failed(rec, "router "+name+" isn't ready", err)
+	done := make(chan bool)
+	go func() {
+		hangUpAll(rec, caller, ids, begin)
+		close(done)
+	}()
+	for i, id := range ids {
+		time.Sleep(time.Until(begin.Add(time.Duration(i) * time.Second / rate)))
+		if !caller.Place(id, "status-check", 3*time.Second, i%2) {
+			return failed(rec, "the caller has no connection", nil)
 		}
-		routers[name] = router
 	}
-	time.Sleep(6 * time.Second) // leases are given, and records have their holders
-
-	// Callers keep to their own router, as the site's `entry = "own"` has it.
-	caller := stand.NewCaller(rec, "caller of "+killed, platforms[killed].Listen)
-	defer caller.Close()
-	other := stand.NewCaller(rec, "caller of "+third, platforms[third].Listen)
-	defer other.Close()
-	time.Sleep(500 * time.Millisecond)
-	stop, done := make(chan bool), make(chan bool)
-	go func() { // for as long as its connection is open; a caller connects again at once
-		defer close(done)
-		tick := time.NewTicker(time.Second / rate)
-		defer tick.Stop()
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			case <-tick.C:
-			}
-			caller.Place(fmt.Sprintf("%016x", 0xa1000000+i), "seat-lookup", 3*time.Second, i%2)
-			if i%4 == 0 {
-				other.Place(fmt.Sprintf("%016x", 0xa2000000+i), "seat-lookup", 3*time.Second, i%2)
-			}
-		}
-	}()
-	time.Sleep(before)
+	time.Sleep(100 * time.Millisecond) // all are answered
+	var termAt time.Time
 	if trouble {
-		platforms[killed].Signal(routers[killed], syscall.SIGKILL)
-		if !routers[killed].AwaitEnd(5 * time.Second) {
-			return failed(rec, "the router doesn't end at SIGKILL", nil)
+		termAt = time.Now()
+		platform.Signal(router, syscall.SIGTERM)
+		if !router.AwaitEnd(killAt) {
+			platform.Signal(router, syscall.SIGKILL)
+			router.AwaitEnd(5 * time.Second)
 		}
 		time.Sleep(back)
-		if routers[killed], err = platforms[killed].Start(killed+"-again", false); err != nil ||
-			!platforms[killed].AwaitTest(10*time.Second) {
+		if err := platform.EmptyTemp(); err != nil {
+			return failed(rec, "TMPDIR", err)
+		}
+		if router, err = platform.Start("router-again", true); err != nil || !platform.AwaitTest(10*time.Second) {
 			return failed(rec, "the router isn't ready again", err)
 		}
 	}
-	time.Sleep(after)
-	close(stop)
 	<-done
-	time.Sleep(held + due + time.Second)
-	for name, router := range routers {
-		if router.Ended() {
-			rec.Printf("BROKEN: router %s has ended", name)
-			return 1
-		}
+	time.Sleep(due)
+	if router.Ended() {
+		rec.Printf("BROKEN: the router has ended")
+		return 1
 	}
 
-	stood, never, late := 0, 0, 0
-	for _, one := range []*stand.Caller{caller, other} {
-		for id, call := range one.Calls() {
-			if call.Status != 200 {
+	stood, left, answered := 0, 0, 0
+	for id, call := range caller.Calls() {
+		if call.Status != 200 {
+			continue
+		}
+		stood++
+		for _, server := range servers {
+			if !server.Calls()[id].Stands || time.Since(call.HungUpAt) < due {
 				continue
 			}
-			stood++
-			over := time.Time{}
-			for _, server := range servers {
-				if at := server.Calls()[id]; !at.EndedAt.IsZero() {
-					over = at.EndedAt
-				}
-			}
-			switch {
-			case over.IsZero():
-				return failed(rec, "call "+id+" has not ended", nil)
-			case call.ReleasedAt.IsZero():
-				never++
-				rec.Printf("BROKEN: %s of the %s: over for %.1f s, and its caller was never told", id, one.Name, time.Since(over).Seconds())
-			case call.ReleasedAt.Sub(over) > due:
-				late++
-				rec.Printf("BROKEN: %s of the %s: its caller was told %.3f s after its end", id, one.Name, call.ReleasedAt.Sub(over).Seconds())
+			left++
+			heard := "not answered"
+			if !call.HeardAt.IsZero() {
+				answered++
+				heard = fmt.Sprintf("answered with 200 after %.1f ms", float64(call.HeardAt.Sub(call.HungUpAt).Microseconds())/1000)
 			}
+			rec.Printf("BROKEN: %s: its caller released it %.3f s after SIGTERM, %s; it is left standing at %s %.1f s later", id,
+				call.HungUpAt.Sub(termAt).Seconds(), heard, server.ID, time.Since(call.HungUpAt).Seconds())
 		}
 	}
-	text := fmt.Sprintf("%d calls stood and ended; never told to their callers: %d; told later than 8.05 s: %d", stood, never, late)
+	text := fmt.Sprintf("%d calls stood, and their callers released them; left standing at a case server: %d, of which the router "+
+		"had answered the release: %d", stood, left, answered)
 	rec.Printf("result: %s", text)
-	fmt.Println(strings.TrimSpace(text))
-	if never+late > 0 {
+	fmt.Println(text)
+	switch {
+	case left > 0:
 		return 1
+	case stood != len(ids):
+		return failed(rec, "not all calls stood", nil)
 	}
 	return 0
 }
--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -29,7 +29,6 @@
 	OverloadMs  int
 	MarksRetry  bool
 	Zones       []string // case servers lie in them by turns
-	Router      string   // name of the router; n0 if empty
 }
 
 // Class is one class of a site.
@@ -47,18 +46,12 @@
 	MarksRetry: true, Zones: []string{"lahore", "karachi"},
 }
 
-// Texas has the figures of the site texas-seat-res.
-var Texas = Site{
-	Classes:     []Class{{"seat-lookup", 2000, 9000, 9000, 1, 0.1}},
-	ClearWaitMs: 300, MaxAttempts: 4, DrainMs: 250, ColdFrom: 0.33, WarmMs: 13000, Multiple: 3, OverloadMs: 3000,
-	Zones: []string{"dallas", "houston", "san-antonio", "el-paso"},
-}
-
 // Platform starts call routers and holds the folder that they share.
 type Platform struct {
 	rec    *Record
 	root   string // of the repository
 	dir    string // temporary folder
+	tmp    string // TMPDIR of the router's processes, in it
 	name   string // of the router
 	Listen string
 	config string
@@ -82,9 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{rec: rec, root: root, dir: dir, name: "n0", Listen: FreePort(), config: filepath.Join(dir, "config.json")}
-	if site.Router != "" {
-		p.name = site.Router
+	p := &Platform{rec: rec, root: root, dir: dir, tmp: filepath.Join(dir, "tmp"), name: "n0", Listen: FreePort(),
+		config: filepath.Join(dir, "config.json")}
+	if err := p.EmptyTemp(); err != nil {
+		return nil, err
 	}
 	var members []map[string]any
 	var cells []int
@@ -153,8 +147,13 @@
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
 
-// Dir returns the platform's folder.
-func (p *Platform) Dir() string { return p.dir }
+// EmptyTemp empties TMPDIR, as the platform does before each start that is not a new version beside a running process.
+func (p *Platform) EmptyTemp() error {
+	if err := os.RemoveAll(p.tmp); err != nil {
+		return err
+	}
+	return os.Mkdir(p.tmp, 0o700)
+}
 
 // Start starts a process with the run command of the deploy file. With mgmt it gets an operators' address, and the
 // folder TMPDIR that all processes of the router share.
@@ -172,7 +171,7 @@
 	r := &Router{Label: label, done: make(chan struct{})}
 	r.cmd = exec.Command("/bin/sh", "-c", run)
 	r.cmd.Dir = p.root
-	r.cmd.Env = append(os.Environ(), "NODE_NAME="+p.name, "NODE_LISTEN="+p.Listen, "NODE_CONFIG="+p.config, "TMPDIR="+p.dir)
+	r.cmd.Env = append(os.Environ(), "NODE_NAME="+p.name, "NODE_LISTEN="+p.Listen, "NODE_CONFIG="+p.config, "TMPDIR="+p.tmp)
 	if mgmt {
 		r.Mgmt = FreePort()
 		r.cmd.Env = append(r.cmd.Env, "NODE_MGMT="+r.Mgmt)
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -29,8 +29,7 @@
 	random      *rand.Rand
 	conns       []*Conn // open ones, oldest first
 	calls       map[string]*ServerCall
-	retell      map[string]string // releases that also go out on the next connection that is opened, with their router
-	further     []net.Listener
+	retell      map[string]bool // releases that also go out on the next connection that is opened
 	closed      bool
 }
 
@@ -38,7 +37,6 @@
 type ServerCall struct {
 	InviteAt   []time.Time // when set-ups arrived
 	conn       *Conn
-	router     string    // whose connection it was, see ListenFor
 	open       bool      // the set-up is unanswered
 	Stands     bool      // answered, and not ended
 	EndedAt    time.Time // when the server ended it; zero: it did not
@@ -57,8 +55,8 @@
 // StartServer starts a case server on a listener.
 func StartServer(rec *Record, id string, number int, answerDelay time.Duration, l net.Listener) *Server {
 	s := &Server{ID: id, Number: number, AnswerDelay: answerDelay, rec: rec, listener: l,
-		random: rand.New(rand.NewPCG(uint64(number), 37)), calls: map[string]*ServerCall{}, retell: map[string]string{}}
-	go s.accept(l, "")
+		random: rand.New(rand.NewPCG(uint64(number), 37)), calls: map[string]*ServerCall{}, retell: map[string]bool{}}
+	go s.accept(l)
 	go s.report()
 	return s
 }
@@ -73,9 +71,6 @@
 	s.listener.Close()
 	s.mu.Lock()
 	s.closed = true
-	for _, l := range s.further {
-		l.Close()
-	}
 	conns := append([]*Conn(nil), s.conns...)
 	s.mu.Unlock()
 	for _, conn := range conns {
@@ -101,42 +96,26 @@
 	return copies
 }
 
-// ListenFor opens a further address, at which one call router alone reaches the server, and returns the server's entry in
-// that router's list. A call's release goes to no other router.
-func (s *Server) ListenFor(router string) (standin.Entry, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return standin.Entry{}, err
-	}
-	go s.accept(l, router)
-	s.mu.Lock()
-	s.further = append(s.further, l)
-	s.mu.Unlock()
-	return standin.Entry{ID: s.ID, Number: s.Number, Addr: netip.MustParseAddrPort(l.Addr().String())}, nil
-}
-
-func (s *Server) accept(l net.Listener, router string) {
+func (s *Server) accept(l net.Listener) {
 	for {
 		raw, err := l.Accept()
 		if err != nil {
 			return
 		}
-		s.adopt(raw, router)
+		s.adopt(raw)
 	}
 }
 
 // adopt serves an accepted connection of a router.
-func (s *Server) adopt(raw net.Conn, router string) {
-	conn := &Conn{Conn: raw, Router: router}
+func (s *Server) adopt(raw net.Conn) {
+	conn := &Conn{Conn: raw}
 	s.mu.Lock()
-	s.rec.Printf("%s connection from %s opened %s", s.ID, raw.RemoteAddr(), router)
+	s.rec.Printf("%s connection from %s opened", s.ID, raw.RemoteAddr())
 	conn.Send(s.state())
-	for id, owner := range s.retell { // a release also goes out on the next connection that is opened
-		if owner == router {
-			delete(s.retell, id)
-			s.rec.Printf("%s BYE %s again, on the new connection %s", s.ID, id, raw.RemoteAddr())
-			conn.Send(bye(id))
-		}
+	for id := range s.retell { // a release also goes out on the next connection that is opened
+		delete(s.retell, id)
+		s.rec.Printf("%s BYE %s again, on the new connection %s", s.ID, id, raw.RemoteAddr())
+		conn.Send(bye(id))
 	}
 	s.conns = append(s.conns, conn)
 	s.mu.Unlock()
@@ -215,7 +194,7 @@
 			s.calls[id] = call
 		}
 		call.InviteAt = append(call.InviteAt, time.Now())
-		call.conn, call.router, call.open = conn, conn.Router, true
+		call.conn, call.open = conn, true
 		time.AfterFunc(s.AnswerDelay, func() { s.answer(id, conn) })
 	case m.Method() == "CANCEL":
 		s.rec.Printf("%s CANCEL %s", s.ID, id)
@@ -256,13 +235,13 @@
 		return false
 	}
 	call.Stands, call.EndedAt = false, time.Now()
-	s.retell[id] = call.router
+	s.retell[id] = true
 	if call.conn.Send(bye(id)) {
 		s.rec.Printf("%s BYE %s on its set-up's connection %s", s.ID, id, call.conn.RemoteAddr())
 		return true
 	}
 	for _, i := range s.random.Perm(len(s.conns)) {
-		if s.conns[i].Router == call.router && s.conns[i].Send(bye(id)) {
+		if s.conns[i].Send(bye(id)) {
 			s.rec.Printf("%s BYE %s on the open connection %s (%d open)", s.ID, id, s.conns[i].RemoteAddr(), len(s.conns))
 			break
 		}
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -60,7 +60,6 @@
 // Conn is a connection that several goroutines may write to.
 type Conn struct {
 	net.Conn
-	Router string // whose connection it is, where a server tells them apart
 	mu     sync.Mutex
 	closed bool
 }
