Review, case 2: after a planned restart most releases that waited are dropped, too

Cause: of the releases that a router answers with 200 around a planned restart, the case showed those that the ending process drops. The next process drops others: it passes those of 50 unknown calls a second on to case servers (maxUnexpectedReleases) and forgets the rest.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	rate    = 30                                   // set-ups, and later releases, a second; the pages have 50
-	before  = 12 * time.Second                     // for which calls are set up, up to SIGTERM
+	rate    = 50                                   // set-ups, and later releases, a second: what the pages have
+	before  = 10 * time.Second                     // for which calls are set up, up to SIGTERM
 	held    = 8 * time.Second                      // from the set-up to the caller's release; the site has 7.2 to 11 s on average
 	killAt  = 9*time.Second + 700*time.Millisecond // from SIGTERM to SIGKILL: the longest deadline and 0.7 s
-	back    = 200 * time.Millisecond               // from the end of the process to the next start
+	back    = 2 * time.Second                      // from the end of the process to the next start
 	due     = 8*time.Second + 50*time.Millisecond
 	pending = 2 * time.Second // how long a caller waits for the answer to its release before it says it again
 )
@@ -39,13 +39,10 @@
 	return 2
 }
 
-// hangUpAll releases the calls in order, at the rate of the case, each when it has been held long enough. A release for
-// which there is no connection waits for the next one; one that is not answered is said again.
+// hangUpAll releases the calls in order, each when it has been held long enough. A release for which there is no
+// connection waits for the next one; one that is not answered is said again.
 func hangUpAll(rec *stand.Record, caller *stand.Caller, ids []string, begin time.Time) {
-	tick := time.NewTicker(time.Second / rate)
-	defer tick.Stop()
 	for i, id := range ids {
-		<-tick.C
 		time.Sleep(time.Until(begin.Add(time.Duration(i)*time.Second/rate + held)))
 		for !caller.HangUp(id) {
 			time.Sleep(10 * time.Millisecond)
@@ -55,7 +52,6 @@
 		for id, call := range caller.Calls() {
 			if call.Status == 200 && call.HeardAt.IsZero() && time.Since(call.HungUpAt) > pending {
 				rec.Printf("caller: the release of %s was not answered", id)
-				<-tick.C
 				caller.HangUp(id)
 			}
 		}
@@ -112,14 +108,16 @@
 		}
 	}
 	time.Sleep(100 * time.Millisecond) // all are answered
-	var termAt time.Time
+	var termAt, endedAt time.Time
 	if trouble {
+		caller.StayAway(true)
 		termAt = time.Now()
 		platform.Signal(router, syscall.SIGTERM)
 		if !router.AwaitEnd(killAt) {
 			platform.Signal(router, syscall.SIGKILL)
 			router.AwaitEnd(5 * time.Second)
 		}
+		endedAt = time.Now()
 		time.Sleep(back)
 		if err := platform.EmptyTemp(); err != nil {
 			return failed(rec, "TMPDIR", err)
@@ -127,6 +125,7 @@
 		if router, err = platform.Start("router-again", true); err != nil || !platform.AwaitTest(10*time.Second) {
 			return failed(rec, "the router isn't ready again", err)
 		}
+		caller.StayAway(false) // it has passed a test
 	}
 	<-done
 	time.Sleep(due)
@@ -135,7 +134,7 @@
 		return 1
 	}
 
-	stood, left, answered := 0, 0, 0
+	stood, left, answered, early := 0, 0, 0, 0
 	for id, call := range caller.Calls() {
 		if call.Status != 200 {
 			continue
@@ -146,6 +145,9 @@
 				continue
 			}
 			left++
+			if call.HungUpAt.Before(endedAt) {
+				early++
+			}
 			heard := "not answered"
 			if !call.HeardAt.IsZero() {
 				answered++
@@ -155,8 +157,9 @@
 				call.HungUpAt.Sub(termAt).Seconds(), heard, server.ID, time.Since(call.HungUpAt).Seconds())
 		}
 	}
-	text := fmt.Sprintf("%d calls stood, and their callers released them; left standing at a case server: %d, of which the router "+
-		"had answered the release: %d", stood, left, answered)
+	text := fmt.Sprintf("%d calls stood, and their callers released them; left standing at a case server: %d, of which a router "+
+		"had answered the release: %d; released to the process that ends: %d, to the next one: %d", stood, left, answered, early,
+		left-early)
 	rec.Printf("result: %s", text)
 	fmt.Println(text)
 	switch {
--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -20,6 +20,7 @@
 	mu     sync.Mutex
 	conn   *Conn // nil while there is none
 	calls  map[string]*Call
+	away   bool
 	closed bool
 }
 
@@ -43,7 +44,7 @@
 	c := &Caller{Name: name, Target: target, rec: rec, calls: map[string]*Call{}}
 	go func() {
 		for !c.isClosed() {
-			if !c.Connected() {
+			if !c.isAway() && !c.Connected() {
 				c.Connect()
 			}
 			time.Sleep(20 * time.Millisecond)
@@ -58,6 +59,19 @@
 	return c.closed
 }
 
+// StayAway sets whether the caller opens no new connection. One that is open stays open.
+func (c *Caller) StayAway(away bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.away = away
+}
+
+func (c *Caller) isAway() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.away
+}
+
 // Connected reports whether a connection is open.
 func (c *Caller) Connected() bool {
 	c.mu.Lock()
