--- /dev/null
+++ b/internal/sip/serverpeer.go
@@ -0,0 +1,237 @@
+package sip
+
+import (
+	"time"
+
+	"threadglade.example/threadglade"
+	"threadglade.example/threadglade/internal/loop"
+	"threadglade.example/threadglade/silence"
+)
+
+// This file holds a case server as the trunk knows it: its connections, the attempts and releases that wait for one, and
+// whether it can be reached.
+
+const (
+	// redialDelay is the minimum interval between two attempts to connect to a server.
+	redialDelay = 250 * time.Millisecond
+	// deadServerTimeout is how long a server must be unreachable before its calls are considered cut.
+	deadServerTimeout = 2 * time.Second
+	// maxPendingReleases is the number of releases that may wait for a connection to an unreachable server.
+	maxPendingReleases = 1000
+	// maxReplacedConns limits the connections to a server that doesn't read: while it has this many replaced ones, no
+	// further connection is opened. With the current one and one being opened it has at most four.
+	maxReplacedConns = 2
+)
+
+// serverPeer is a server and the connections to it.
+type serverPeer struct {
+	trunk             *Trunk
+	server            Server
+	removed           bool
+	conn              *serverConn   // for new set-ups; nil while there is none
+	dialing           *serverConn   // being opened; nil: none
+	replaced          []*serverConn // former connections that are still open
+	lastDial          time.Duration
+	unreachableSince  time.Duration  // when it became unreachable; 0: it is reachable
+	pending           []*outboundLeg // attempts that wait for a connection
+	pendingReleases   []string       // IDs of calls whose release waits for a connection
+	legCount          int            // its attempts in Trunk.legs
+	malformedLoggedAt time.Duration  // when an unusable connection was last logged; 0: never
+	reportIntervals   silence.ReportIntervals
+}
+
+// handleRestart cuts the attempts and closes the connection of the server's previous incarnation.
+func (p *serverPeer) handleRestart(startedAt time.Duration) {
+	p.cutLegs(func(leg *outboundLeg) bool { return leg.conn != nil && leg.conn.openedAt < startedAt })
+	if p.conn != nil && p.conn.openedAt < startedAt {
+		p.closeConns()
+	}
+	if p.conn == nil {
+		p.connect()
+	}
+}
+
+// closeConns closes all connections to the server.
+func (p *serverPeer) closeConns() {
+	conns := append(p.replaced, p.conn, p.dialing)
+	p.conn, p.dialing, p.replaced = nil, nil, nil
+	for _, conn := range conns {
+		if conn != nil {
+			conn.conn.Close(loop.ErrClosedLocally)
+		}
+	}
+}
+
+// retire takes the current connection out of use. It stays open for the attempts that are pending on it.
+func (p *serverPeer) retire() {
+	if p.conn != nil {
+		p.replaced = append(p.replaced, p.conn)
+		p.conn = nil
+	}
+}
+
+// closeUnused closes replaced connections that have no pending attempts any more.
+func (p *serverPeer) closeUnused() {
+	if len(p.replaced) == 0 {
+		return
+	}
+	used := map[*serverConn]bool{}
+	for _, leg := range p.trunk.legs {
+		used[leg.conn] = !leg.established || used[leg.conn]
+	}
+	conns := p.replaced
+	p.replaced = nil
+	for _, conn := range conns {
+		now := p.trunk.cfg.Clock()
+		switch {
+		case used[conn] && conn.conn.Open(), conn.unusable && conn.deadline > now, conn.closeDeadline > now:
+			p.replaced = append(p.replaced, conn)
+		case conn.closeDeadline == 0 && !conn.unusable && conn.conn.Open():
+			// Releases of established calls may be on their way, so it is half-closed until the server closes too.
+			conn.closeDeadline = now + peerCloseTimeout
+			conn.conn.CloseWrite()
+			p.replaced = append(p.replaced, conn)
+		default:
+			conn.conn.Close(loop.ErrClosedLocally)
+		}
+	}
+}
+
+// cutLegs ends the server's matching attempts as cut and returns their number. Unanswered ones are cancelled on the
+// wire at once, because the delay before the next attempt begins now.
+func (p *serverPeer) cutLegs(match func(*outboundLeg) bool) (count int) {
+	for _, leg := range p.trunk.legs {
+		if leg.peer == p && match(leg) {
+			p.trunk.cancelLeg(leg)
+			p.trunk.endLeg(leg, threadglade.Cut, threadglade.CauseNone)
+			count++
+		}
+	}
+	p.closeUnused()
+	return count
+}
+
+// check closes unused connections and those with an incomplete message, fails attempts that have waited too long for
+// a connection, opens one if there is none or the current one is silent, and cuts its calls after deadServerTimeout.
+func (p *serverPeer) check(now time.Duration) {
+	p.closeUnused()
+	for _, conn := range append([]*serverConn{p.conn}, p.replaced...) {
+		if conn != nil && conn.deadline > 0 && now >= conn.deadline && !conn.unusable {
+			conn.closeCorrupt(errCorrupt)
+		}
+	}
+	if p.dialing != nil && now-p.lastDial >= p.trunk.cfg.ConnectTimeout {
+		p.dialing.conn.Close(loop.ErrDialTimeout)
+	}
+	for _, leg := range append([]*outboundLeg(nil), p.pending...) {
+		if now >= leg.connectDeadline {
+			p.trunk.endLeg(leg, threadglade.Unreachable, threadglade.CauseNone)
+		}
+	}
+	if p.dialing == nil && now-p.lastDial >= redialDelay {
+		switch {
+		case p.conn == nil:
+			p.connect()
+		case p.legCount > 0 && p.conn.silence.NeedsProbe(now) ||
+			p.conn.silence.MissedReport(now, &p.reportIntervals):
+			p.trunk.counters.Silent++
+			p.connect()
+		}
+	}
+	if p.unreachableSince > 0 && now-p.unreachableSince > deadServerTimeout && p.legCount > 0 {
+		// Attempts that wait for a connection have their own, shorter timeout.
+		if n := p.cutLegs(func(leg *outboundLeg) bool { return leg.conn != nil }); n > 0 {
+			p.trunk.cfg.Log.Warn().Str("event", "server_dead").Str("server", p.server.ID).Int("cut", n).
+				Msgf("server %s has been unreachable for %v, %d attempts cut", p.server.ID, deadServerTimeout, n)
+		}
+	}
+}
+
+// connect opens a connection, which replaces the current one once it is established.
+func (p *serverPeer) connect() {
+	if p.dialing != nil || p.removed || p.trunk.closing && len(p.pending) == 0 {
+		return
+	}
+	p.trunk.counters.Dials++
+	p.lastDial = p.trunk.cfg.Clock()
+	p.dialing = &serverConn{peer: p}
+	p.dialing.conn = p.trunk.cfg.Loop.Dial(p.server.Addr, p.dialing)
+}
+
+// sendPending queues the attempts that wait for a connection for the next Flush.
+func (p *serverPeer) sendPending() {
+	p.trunk.unsent = append(p.trunk.unsent, p.pending...)
+	p.pending = nil
+}
+
+// queueRelease keeps a release for the next connection, unless maxPendingReleases wait already.
+func (p *serverPeer) queueRelease(id string) {
+	if !p.removed && len(p.pendingReleases) < maxPendingReleases {
+		p.pendingReleases = append(p.pendingReleases, id)
+	}
+}
+
+// markUnreachable records that the server is unreachable, if it wasn't before.
+func (p *serverPeer) markUnreachable(now time.Duration) {
+	if p.unreachableSince == 0 {
+		p.unreachableSince = now
+		p.trunk.cfg.Log.Warn().Str("event", "server_lost").Str("server", p.server.ID).
+			Msgf("server %s is unreachable", p.server.ID)
+	}
+}
+
+// failPending fails the attempts that wait for a connection.
+func (p *serverPeer) failPending() {
+	for _, leg := range append([]*outboundLeg(nil), p.pending...) {
+		p.trunk.endLeg(leg, threadglade.Unreachable, threadglade.CauseNone)
+	}
+}
+
+// awaitConn makes an attempt wait until there is a connection, or until the server reads again if it has stopped, for
+// at most the connect timeout. The attempt is not written yet, so it can be withdrawn without a CANCEL.
+func (p *serverPeer) awaitConn(leg *outboundLeg) {
+	trunk := p.trunk
+	leg.connectDeadline = trunk.cfg.Clock() + trunk.cfg.ConnectTimeout
+	p.pending = append(p.pending, leg)
+	trunk.router.Schedule(leg.connectDeadline, func() {
+		if trunk.legs[leg.ID] == leg && leg.conn == nil {
+			trunk.endLeg(leg, threadglade.Unreachable, threadglade.CauseNone)
+		}
+	})
+	if p.conn == nil || len(p.replaced) < maxReplacedConns { // no more to a server that reads on none
+		p.connect()
+	}
+}
+
+// sendInvite writes an attempt's INVITE on the current connection, or has it wait if that is not possible.
+func (p *serverPeer) sendInvite(leg *outboundLeg) {
+	trunk := p.trunk
+	now := trunk.cfg.Clock()
+	if p.conn.conn.Blocked() {
+		trunk.counters.Blocked++
+		p.awaitConn(leg)
+		return
+	}
+	leg.conn, leg.sentAt = p.conn, now
+	leg.conn.silence.SetupSent(now)
+	trunk.counters.Invites++
+	b := appendRequest(trunk.buf[:0], "INVITE", leg.Number, leg.ID, 1, "INVITE").addHeader("Call-Kind", leg.Class)
+	b = b.addIntHeader("Answer-Within", max(1, int64((leg.Deadline-now)/time.Millisecond))).addBody(leg.Description)
+	trunk.buf = b
+	written := false
+	if leg.conn.conn.Gated() { // it can be taken back while the output gate holds it
+		written = leg.conn.conn.WriteRecallable(b, leg)
+	} else {
+		written = leg.conn.conn.Write(b)
+	}
+	if !written {
+		// Nothing was sent, so the server can't run it: the attempt uses the next connection.
+		trunk.counters.Unsent++
+		p.conn, leg.conn = nil, nil
+		p.awaitConn(leg)
+		return
+	}
+	if leg.conn.conn.Blocked() {
+		leg.conn.partialSetup = leg
+	}
+}
