--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -254,6 +254,42 @@
 a expect BYE c1 Reason=cause=41
 a send INVITE c3
 wait 400ms
+quiet "attempts cut"`,
+
+	// Guards against cutting the calls of a server that can be reached: its path was cut off so briefly that a further
+	// connection did not come up, while the current one delivers again.
+	"a further connection to a reachable server does not come up": callEstablished + `
+s0 hang
+wait 1600ms
+s0 send NOTIFY s Link-State=idle:9;circuits:9
+wait 1s
+s0 send NOTIFY s Link-State=idle:9;circuits:9
+wait 1s
+s0 send NOTIFY s Link-State=idle:9;circuits:9
+wait 1s
+a expect silence
+a send INVITE c2
+s0 expect INVITE c2
+s0 send 200 INVITE c2 Body=y
+a expect 200 INVITE c2
+wait 300ms
+a expect silence
+quiet "attempts cut"`,
+
+	// The same for a connection that was found silent and replaced before any other one came up: a server that sends on
+	// it is reachable, and its calls go on.
+	"a server sends on a replaced connection while no other comes up": callEstablished + `
+a send INVITE c2 Answer-Within=5000
+s0 expect INVITE c2
+s0 hang
+log "s0 is silent"
+wait 1s
+s0 send NOTIFY s Link-State=idle:9;circuits:9
+log "s0 is reachable again"
+wait 800ms
+s0 send NOTIFY s Link-State=idle:9;circuits:9
+wait 500ms
+a expect silence
 quiet "attempts cut"`,
 
 	// A caller's release of a call whose server is not connected is sent on the server's next connection.
--- a/internal/sip/serverconn.go
+++ b/internal/sip/serverconn.go
@@ -62,15 +62,12 @@
 		c.conn.Close(loop.ErrClosedLocally)
 		return
 	}
-	if peer.unreachableSince > 0 {
-		peer.trunk.cfg.Log.Info().Str("event", "server_reached").Str("server", peer.server.ID).
-			Msgf("server %s is reachable again", peer.server.ID)
-	}
+	peer.markReachable()
 	if peer.conn != nil && peer.conn.silence.MissedReport(now, &peer.reportIntervals) {
 		c.predecessor = peer.conn
 	}
 	peer.retire()
-	peer.dialing, peer.conn, peer.unreachableSince = nil, c, 0
+	peer.dialing, peer.conn = nil, c
 	peer.sendPending()
 	pending := peer.pendingReleases
 	peer.pendingReleases = nil
@@ -150,6 +147,8 @@
 	trunk := c.peer.trunk
 	now := trunk.cfg.Clock()
 	c.silence.Received(now)
+	c.peer.lastReceived = now
+	c.peer.markReachable()
 	if c.unusable {
 		return c.salvageReleases(b)
 	}
--- a/internal/sip/serverpeer.go
+++ b/internal/sip/serverpeer.go
@@ -32,6 +32,7 @@
 	dialing           *serverConn   // being opened; nil: none
 	replaced          []*serverConn // former connections that are still open
 	lastDial          time.Duration
+	lastReceived      time.Duration  // when data last arrived on any of its connections; 0: never
 	unreachableSince  time.Duration  // when it became unreachable; 0: it is reachable
 	pending           []*outboundLeg // attempts that wait for a connection
 	pendingReleases   []string       // IDs of calls whose release waits for a connection
@@ -112,7 +113,8 @@
 }
 
 // check closes unused connections and those with an incomplete message, fails attempts that have waited too long for
-// a connection, opens one if there is none or the current one is silent, and cuts its calls after deadServerTimeout.
+// a connection, opens one if there is none, the current one is silent or the server is unreachable, and cuts its calls
+// after deadServerTimeout.
 func (p *serverPeer) check(now time.Duration) {
 	p.closeUnused()
 	for _, conn := range append([]*serverConn{p.conn}, p.replaced...) {
@@ -130,7 +132,7 @@
 	}
 	if p.dialing == nil && now-p.lastDial >= redialDelay {
 		switch {
-		case p.conn == nil:
+		case p.conn == nil, p.unreachableSince > 0:
 			p.connect()
 		case p.legCount > 0 && p.conn.silence.NeedsProbe(now) ||
 			p.conn.silence.MissedReport(now, &p.reportIntervals):
@@ -171,13 +173,25 @@
 	}
 }
 
-// markUnreachable records that the server is unreachable, if it wasn't before.
+// markUnreachable records that a connection to the server did not open. A server that has sent data since that
+// connection was tried is reachable all the same.
 func (p *serverPeer) markUnreachable(now time.Duration) {
+	if p.unreachableSince > 0 || p.lastReceived > p.lastDial {
+		return
+	}
+	p.unreachableSince = now
+	p.trunk.cfg.Log.Warn().Str("event", "server_lost").Str("server", p.server.ID).
+		Msgf("server %s is unreachable", p.server.ID)
+}
+
+// markReachable records that a connection to the server has opened, or that data has arrived on one.
+func (p *serverPeer) markReachable() {
 	if p.unreachableSince == 0 {
-		p.unreachableSince = now
-		p.trunk.cfg.Log.Warn().Str("event", "server_lost").Str("server", p.server.ID).
-			Msgf("server %s is unreachable", p.server.ID)
+		return
 	}
+	p.unreachableSince = 0
+	p.trunk.cfg.Log.Info().Str("event", "server_reached").Str("server", p.server.ID).
+		Msgf("server %s is reachable again", p.server.ID)
 }
 
 // failPending fails the attempts that wait for a connection.
