--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -36,6 +36,17 @@
 a expect 200 INVITE c1 Body=x
 `
 
+// manyReleases are releases of 300 calls; expectAnswers and expectReleases expect the answers to them and the releases
+// at the case server.
+var manyReleases, expectAnswers, expectReleases = func() (releases, answers, atServer string) {
+	for i := range 300 {
+		releases += string(encodeMessage(fmt.Sprintf("BYE old%d", i)))
+		answers += fmt.Sprintf("a answered BYE old%d\n", i)
+		atServer += fmt.Sprintf("s0 expect BYE old%d\n", i)
+	}
+	return releases, answers, atServer
+}()
+
 // largeBody takes most of a message of the maximum size, 16 KiB.
 var largeBody = strings.Repeat("x", 15<<10)
 
@@ -292,6 +303,11 @@
 a expect silence
 quiet "attempts cut"`,
 
+	// Guards against dropping releases that were answered with 200: the process before knew these calls, and callers
+	// release more of them in one second than a router usually carries.
+	"releases of many calls of an earlier process": oneServer + fmt.Sprintf("a raw %q\n", manyReleases) +
+		expectAnswers + "wait 1s\n" + expectReleases,
+
 	// A caller's release of a call whose server is not connected is sent on the server's next connection.
 	"a release waits for the server": callEstablished + `
 s0 close
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -584,10 +584,11 @@
 			c.writeFinal(id, append(appendResponse(c.front.buf[:0], 487), leg.routing...).addBody(nil), nil)
 		}
 	case "BYE":
-		c.reply(appendReply(c.front.buf[:0], 200, m))
-		if isCallID(m.callID) {
-			c.front.router.Release(string(m.callID))
+		status := 200
+		if isCallID(m.callID) && !c.front.router.Release(string(m.callID)) {
+			status = 503
 		}
+		c.reply(appendReply(c.front.buf[:0], status, m))
 	case "OPTIONS":
 		status := 200
 		if c.front.process.Leaving() { // so that the client sends its calls to another router
--- a/router/clone.go
+++ b/router/clone.go
@@ -31,24 +31,23 @@
 	}
 	cfg.Settings, cfg.Seed = *r.settings, r.cfg.Seed
 	clone := &Router{
-		cfg:                cfg,
-		controller:         r.controller.Clone(),
-		settings:           r.settings,
-		calls:              make(map[string]*callState, len(r.calls)),
-		servers:            make(map[string]*serverState, len(r.servers)),
-		endedCalls:         maps.Clone(r.endedCalls),
-		endedOrder:         slices.Clone(r.endedOrder),
-		expiryScheduled:    r.expiryScheduled,
-		unexpectedReleases: r.unexpectedReleases,
-		windowStart:        r.windowStart,
-		foreignReleases:    r.foreignReleases,
-		counters:           r.counters,
-		freeSlots:          slices.Clone(r.freeSlots),
-		highestSlot:        r.highestSlot,
-		timers:             slices.Clone(r.timers),
-		timerOrder:         r.timerOrder,
-		snapshot:           r.snapshot,
+		cfg:             cfg,
+		controller:      r.controller.Clone(),
+		settings:        r.settings,
+		calls:           make(map[string]*callState, len(r.calls)),
+		servers:         make(map[string]*serverState, len(r.servers)),
+		endedCalls:      maps.Clone(r.endedCalls),
+		endedOrder:      slices.Clone(r.endedOrder),
+		expiryScheduled: r.expiryScheduled,
+		unknown:         r.unknown,
+		counters:        r.counters,
+		freeSlots:       slices.Clone(r.freeSlots),
+		highestSlot:     r.highestSlot,
+		timers:          slices.Clone(r.timers),
+		timerOrder:      r.timerOrder,
+		snapshot:        r.snapshot,
 	}
+	clone.unknown.waiting = slices.Clone(r.unknown.waiting)
 	clone.openRequests.Store(r.openRequests.Load())
 	copies := map[*callState]*callState{}
 	copyCall := func(original *callState) *callState {
@@ -139,7 +138,7 @@
 	switch t.kind {
 	case timerExternal:
 		return "", true
-	case timerExpiry: // it has no effect on decisions
+	case timerExpiry, timerUnknownRelease: // they have no effect on decisions
 		return "", false
 	case timerController:
 		return r.controller.TimerCall(t.number)
--- a/router/router.go
+++ b/router/router.go
@@ -35,10 +35,6 @@
 	// maxEndedCalls bounds how many of them are remembered. It is above the number in ordinary operation, so that
 	// IDs are forgotten early only in a flood of them.
 	maxEndedCalls = 20_000
-	// maxUnexpectedReleases bounds the releases per second of calls unknown here that are passed on to servers.
-	// There are few releases of calls of an earlier process of this router, and clients that invent IDs must not
-	// cause work at the servers.
-	maxUnexpectedReleases = 50
 )
 
 // Clock returns the time since the Unix epoch. It is monotonic.
@@ -142,22 +138,20 @@
 // within methods of Front and Trunk. Calls are processed one at a time; those that arrive meanwhile are queued in
 // order.
 type Router struct {
-	cfg                Config
-	controller         *threadglade.Controller
-	settings           *threadglade.Settings
-	calls              map[string]*callState
-	servers            map[string]*serverState
-	endedCalls         map[string]endedCall // calls that have ended, by ID, for endedCallTTL
-	endedOrder         []endedEntry         // the entries of endedCalls, oldest first; some may be outdated
-	expiryScheduled    bool                 // a timerExpiry is set
-	unexpectedReleases int                  // allowed in the second that began at windowStart
-	foreignReleases    int                  // allowed beyond maxUnexpectedReleases, of calls of another process
-	windowStart        time.Duration
-	counters           Counters
-	openRequests       atomic.Int64
-	stepTime           time.Duration // time of the current step's first event for the observer; 0: none yet
-	freeSlots          []uint32      // slots given out before that are free again
-	highestSlot        uint32        // highest slot given out so far
+	cfg             Config
+	controller      *threadglade.Controller
+	settings        *threadglade.Settings
+	calls           map[string]*callState
+	servers         map[string]*serverState
+	endedCalls      map[string]endedCall // calls that have ended, by ID, for endedCallTTL
+	endedOrder      []endedEntry         // the entries of endedCalls, oldest first; some may be outdated
+	expiryScheduled bool                 // a timerExpiry is set
+	unknown         unknownReleases      // of calls of an earlier process
+	counters        Counters
+	openRequests    atomic.Int64
+	stepTime        time.Duration // time of the current step's first event for the observer; 0: none yet
+	freeSlots       []uint32      // slots given out before that are free again
+	highestSlot     uint32        // highest slot given out so far
 
 	mu         sync.Mutex // guards the fields below
 	busy       bool       // a step is being processed
@@ -278,6 +272,7 @@
 	r.snapshot.Known = len(r.endedCalls)
 	r.snapshot.Servers = len(r.servers)
 	r.snapshot.Timers = len(r.timers)
+	r.snapshot.ReleasesWaiting = len(r.unknown.waiting)
 	r.mu.Unlock()
 }
 
@@ -338,25 +333,34 @@
 }
 
 // Release records that the caller has released an established call. A call that this router never knew belongs to an
-// earlier process of the router and is passed to Config.OnUnknownCallerRelease, once.
-func (r *Router) Release(id string) {
+// earlier process of the router and is passed to Config.OnUnknownCallerRelease, once. Release returns false if there is
+// no room for another one of those; the caller has to release the call again then. A release that waits for another
+// step to end is always accepted.
+func (r *Router) Release(id string) (accepted bool) {
+	const undecided, refused, returned = 0, 1, 2
+	var decision atomic.Int32
+	refuse := func() bool { return decision.CompareAndSwap(undecided, refused) }
 	r.serialize(nil, func([]byte) {
 		call := r.calls[id]
 		if call != nil && call.established {
-			r.counters.CallerReleases++
-			r.cfg.Trunk.Release(call.attempt, threadglade.Cancelled)
-			if mutant == "release-twice" {
-				r.cfg.Trunk.Release(call.attempt, threadglade.Cancelled)
-			}
-			r.endAttempt(call, threadglade.Cancelled, threadglade.CauseNone, false)
+			r.releaseEstablished(call)
+			return
 		}
-		if _, known := r.endedCalls[id]; !known && call == nil && r.cfg.OnUnknownCallerRelease != nil && r.allowUnexpectedRelease() {
-			r.counters.Orphans++
-			r.rememberEnded(id, true)
-			r.observeRelease(UnknownCallerRelease, id, threadglade.Cancelled)
-			r.cfg.OnUnknownCallerRelease(id)
+		if _, known := r.endedCalls[id]; !known && call == nil && r.cfg.OnUnknownCallerRelease != nil {
+			r.releaseUnknown(id, refuse)
 		}
 	})
+	return decision.CompareAndSwap(undecided, returned)
+}
+
+// releaseEstablished releases an established call at its server.
+func (r *Router) releaseEstablished(call *callState) {
+	r.counters.CallerReleases++
+	r.cfg.Trunk.Release(call.attempt, threadglade.Cancelled)
+	if mutant == "release-twice" {
+		r.cfg.Trunk.Release(call.attempt, threadglade.Cancelled)
+	}
+	r.endAttempt(call, threadglade.Cancelled, threadglade.CauseNone, false)
 }
 
 // RelinquishEstablished removes all established calls, which another router takes over, and returns their IDs.
@@ -404,26 +408,6 @@
 // is processed as one of an unknown call.
 func (r *Router) Forget(id string) { r.serialize(nil, func([]byte) { delete(r.endedCalls, id) }) }
 
-// allowUnexpectedRelease counts a release of an unknown call and reports whether it may be passed on to the servers.
-func (r *Router) allowUnexpectedRelease() bool {
-	if now := r.cfg.Clock(); now-r.windowStart >= time.Second {
-		r.windowStart = now
-		r.unexpectedReleases = 0
-	}
-	r.unexpectedReleases++
-	if r.unexpectedReleases > maxUnexpectedReleases && r.foreignReleases > 0 {
-		r.foreignReleases--
-		return true
-	}
-	return r.unexpectedReleases <= maxUnexpectedReleases
-}
-
-// AllowReleasesOfOtherProcess allows the given number of releases of another process's calls in addition to
-// maxUnexpectedReleases.
-func (r *Router) AllowReleasesOfOtherProcess(calls int) {
-	r.serialize(nil, func([]byte) { r.foreignReleases += calls })
-}
-
 // withdraw ends a request that gets no answer any more, and gives up its pending attempt.
 func (r *Router) withdraw(call *callState) {
 	r.settle(call)
@@ -879,11 +863,12 @@
 type timerKind uint8
 
 const (
-	timerExternal   timerKind = iota // calls the callback given to Schedule
-	timerOverdue                     // fails a request that the Controller did not answer in time
-	timerAttempt                     // times out an attempt
-	timerController                  // passes a Due to the Controller
-	timerExpiry                      // expires the records of ended calls
+	timerExternal       timerKind = iota // calls the callback given to Schedule
+	timerOverdue                         // fails a request that the Controller did not answer in time
+	timerAttempt                         // times out an attempt
+	timerController                      // passes a Due to the Controller
+	timerExpiry                          // expires the records of ended calls
+	timerUnknownRelease                  // passes on waiting releases of unknown calls
 )
 
 // fire carries out what a timer was set for.
@@ -907,6 +892,8 @@
 		r.notifyController(threadglade.Due{Token: t.number})
 	case timerExpiry:
 		r.runExpiry()
+	case timerUnknownRelease:
+		r.passOnWaiting()
 	}
 }
 
@@ -985,8 +972,10 @@
 	Requests, Repeated, Left, Stood, Refused, Failed, Overdue uint64
 	Attempts, Stopped, CallerReleases, Orphans, Ghosts        uint64
 	Lists, Faults, Ceded                                      uint64
+	ReleasesRefused                                           uint64    // callers' releases that were not accepted
 	Ends                                                      [8]uint64 // ended attempts by outcome
 	Calls, Known, Servers, Timers                             int       // current table sizes
+	ReleasesWaiting                                           int       // callers' releases that are still to be passed on
 }
 
 // Counters returns the counters as of the last completed step.
@@ -1001,8 +990,10 @@
 	return fmt.Sprintf("requests=%d repeated=%d left=%d stood=%d refused=%d failed=%d overdue=%d "+
 		"attempts=%d stopped=%d "+
 		"concluded=%d faulted=%d rejected=%d timed_out=%d unreachable=%d cut=%d cancelled=%d not_sent=%d "+
-		"caller_releases=%d orphans=%d ghosts=%d lists=%d faults=%d ceded=%d calls=%d known=%d servers=%d timers=%d",
+		"caller_releases=%d orphans=%d ghosts=%d lists=%d faults=%d ceded=%d releases_refused=%d calls=%d known=%d "+
+		"servers=%d timers=%d releases_waiting=%d",
 		c.Requests, c.Repeated, c.Left, c.Stood, c.Refused, c.Failed, c.Overdue, c.Attempts, c.Stopped,
 		c.Ends[0], c.Ends[1], c.Ends[2], c.Ends[3], c.Ends[4], c.Ends[5], c.Ends[6], c.Ends[7],
-		c.CallerReleases, c.Orphans, c.Ghosts, c.Lists, c.Faults, c.Ceded, c.Calls, c.Known, c.Servers, c.Timers)
+		c.CallerReleases, c.Orphans, c.Ghosts, c.Lists, c.Faults, c.Ceded, c.ReleasesRefused,
+		c.Calls, c.Known, c.Servers, c.Timers, c.ReleasesWaiting)
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -175,3 +175,60 @@
 	view, _ := r.controller.View("s0")
 	require.Zero(t, view.InFlight)
 }
+
+// Guards against dropping releases that were accepted: after a restart callers release more calls at once than may be
+// passed on per second. Each accepted one is passed on, in order, at no more than maxUnknownReleaseRate; those for
+// which there is no room are not accepted and can be released again.
+func TestUnknownReleasesWait(t *testing.T) {
+	r, _, now := startRouter(t)
+	var passedOn []string
+	r.cfg.OnUnknownCallerRelease = func(id string) { passedOn = append(passedOn, id) }
+	var accepted []string
+	refused := ""
+	for i := range 3000 {
+		id := fmt.Sprintf("%04d", i)
+		if r.Release(id) {
+			accepted = append(accepted, id)
+		} else {
+			refused = id
+		}
+		require.True(t, r.Release("0000"), "a repeated release is accepted and passed on once")
+	}
+	require.Greater(t, len(accepted), maxWaitingReleases)
+	require.EqualValues(t, 3000-len(accepted), r.Counters().ReleasesRefused)
+	require.Equal(t, len(accepted)-len(passedOn), r.Counters().ReleasesWaiting)
+	for second := 1; len(passedOn) < len(accepted) && second < 10; second++ {
+		before := len(passedOn)
+		for range 100 {
+			*now += 10 * time.Millisecond
+			r.Tick()
+		}
+		require.LessOrEqual(t, len(passedOn)-before, maxUnknownReleaseRate)
+		require.LessOrEqual(t, second, 6, "longer than maxWaitingReleases takes at maxUnknownReleaseRate")
+	}
+	require.Equal(t, accepted, passedOn)
+	require.True(t, r.Release(refused))
+	*now += unknownReleaseInterval
+	r.Tick()
+	require.Equal(t, append(accepted, refused), passedOn)
+}
+
+// PassOnReleases passes on what waits at once, for a process that exits; releases of another process's calls don't wait.
+func TestUnknownReleasesAtExit(t *testing.T) {
+	r, _, _ := startRouter(t)
+	passedOn := 0
+	r.cfg.OnUnknownCallerRelease = func(string) { passedOn++ }
+	release := func(prefix string) {
+		for i := range 500 {
+			require.True(t, r.Release(fmt.Sprintf("%s%04d", prefix, i)))
+		}
+	}
+	r.AllowReleasesOfOtherProcess(500)
+	release("a")
+	require.Equal(t, 500, passedOn)
+	release("b")
+	require.Less(t, passedOn, 1000)
+	r.PassOnReleases()
+	require.Equal(t, 1000, passedOn)
+	require.Zero(t, r.Counters().ReleasesWaiting)
+}
