--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -246,7 +246,9 @@
 		longestDeadline = max(longestDeadline, class.Deadline)
 	}
 	unsent := n.handover.newProcessLink != nil && n.handover.newProcessLink.Unsent() > 0
-	return n.Router.Counters().Calls == 0 && !unsent || n.clock() >= n.handover.handedOverAt+longestDeadline+lingerTimeout
+	counters := n.Router.Counters()
+	isIdle := counters.Calls == 0 && counters.ReleasesWaiting == 0 && n.trunk.PendingReleases() == 0
+	return isIdle && !unsent || n.clock() >= n.handover.handedOverAt+longestDeadline+lingerTimeout
 }
 
 // ---- the new process ----
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,20 +34,8 @@
 	"threadglade.example/threadglade/trace"
 )
 
-const (
-	// minShutdownDelay is how long a router goes on accepting requests after Shutdown, so that callers can switch to
-	// another one.
-	minShutdownDelay = 750 * time.Millisecond
-	// closeGracePeriod is how long the process keeps running after it has closed idle connections: a caller sends a
-	// set-up again that crosses the close within 50 ms.
-	closeGracePeriod = 60 * time.Millisecond
-	// shutdownPollInterval is how often a process in shutdown checks whether it may exit.
-	shutdownPollInterval = 20 * time.Millisecond
-	// flushTimeout bounds the wait at shutdown for slow callers to read their answers.
-	flushTimeout = 500 * time.Millisecond
-	// heapLimitFraction is the fraction of the memory limit that is set as the soft limit of the Go runtime.
-	heapLimitFraction = 0.7
-)
+// heapLimitFraction is the fraction of the memory limit that is set as the soft limit of the Go runtime.
+const heapLimitFraction = 0.7
 
 // Node is one running call router. While Run is executing, its other methods must be called on the event loop's
 // goroutine.
@@ -320,57 +308,6 @@
 	return err
 }
 
-// Shutdown ends Run once no answers are pending, but not before callers have had time to switch to another router. If
-// another process is in standby, it is asked to take over the callers.
-func (n *Node) Shutdown() {
-	n.log.Info().Str("event", "ending").Msgf("shutting down: %d open requests", n.Router.OpenRequests())
-	n.process.End(n.clock())
-	earliest := n.clock() + minShutdownDelay
-	latest := earliest + flushTimeout
-	n.requestTakeover()
-	listenerClosed, awaitingReleases, idleClosed := false, false, false
-	var poll func()
-	poll = func() {
-		if n.Router.OpenRequests() > 0 {
-			latest = max(latest, n.clock()+flushTimeout)
-		}
-		done := n.Router.OpenRequests() == 0 && n.clock() >= earliest &&
-			(!n.front.HasUnsent() && !n.front.HasUnread() || n.clock() >= latest)
-		switch {
-		case n.handover.asOldProcess.HandedOver():
-			done = n.mayExitAfterHandover()
-		case done && !listenerClosed:
-			// Accepts the connections that the kernel has queued for this process; what they have sent is read in the
-			// next loop iteration.
-			listenerClosed, done = true, false
-			n.listener.DrainBacklog()
-			n.listener.Close()
-			earliest = n.clock() + shutdownPollInterval
-		case done && !awaitingReleases && n.handover.socketPath != "":
-			// Where another process may serve as well, waits for the releases that are on their way to this one.
-			awaitingReleases, done = true, false
-			n.trunk.HalfCloseAll()
-		case done && awaitingReleases && !idleClosed && n.trunk.HalfClosing():
-			done = false
-		case done && !idleClosed:
-			// Closes idle connections, and gives callers time to notice it before the process exits.
-			idleClosed, done = true, false
-			n.process.BeginClosing()
-			n.front.CloseIdle()
-			earliest = n.clock() + closeGracePeriod
-		}
-		if done {
-			if n.callControl != nil {
-				n.callControl.Close()
-			}
-			n.Loop.Stop()
-			return
-		}
-		n.Router.Schedule(n.clock()+shutdownPollInterval, poll)
-	}
-	poll()
-}
-
 // Apply puts a configuration that was read again in force, completely or, with an error, not at all. The new address
 // of the name service is used at once; as before, only lists with a newer serial are accepted. Limits apply from now
 // on, settings to requests that arrive from now on. Calls, servers and connections stay as they are. Changes that need
--- a/internal/scenario/operations_test.go
+++ b/internal/scenario/operations_test.go
@@ -438,3 +438,44 @@
 a expect 200 INVITE c1`,
 	})
 }
+
+// TestShutdownReleases covers callers' releases that a process answers while it shuts down. It has half-closed its
+// connections to the case servers by then, because another process of the router may run.
+func TestShutdownReleases(t *testing.T) {
+	const establishedAtEnd = `
+s0 open number=0
+start handover
+a open
+a send INVITE c1
+s0 expect INVITE c1
+s0 send 200 INVITE c1
+a expect 200 INVITE c1
+term
+`
+	runScenarios(t, map[string]string{
+		// Guards against answering a release with 200 and dropping it, because no connection to its server can be
+		// written to any more.
+		"a release after the connections to case servers were half-closed": establishedAtEnd + `
+wait 800ms
+a send BYE c1
+a answered BYE c1
+wait 150ms
+s0 expect BYE c1`,
+		"a release of an unknown call after they were half-closed": establishedAtEnd + `
+wait 800ms
+a send BYE c2
+a answered BYE c2
+wait 150ms
+s0 expect BYE c2`,
+		// A server that can't be connected to at once gets the release before the process exits.
+		"a release to a server that does not come up at once": establishedAtEnd + `
+wait 800ms
+s0 close
+a send BYE c1
+a answered BYE c1
+wait 400ms
+s0 open number=0 at=s0
+wait 500ms
+s0 expect BYE c1`,
+	})
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -402,7 +402,7 @@
 }
 
 // start starts the router with the servers opened so far. Flags are sockets=N, management (a management server),
-// ledger, refuse (the ledger refuses calls while its disk does not keep up) and callcontrol.
+// handover (another process may take over or run beside this one), ledger, refuse (the ledger refuses calls while its disk does not keep up) and callcontrol.
 func (w *scenarioRun) start(flags string) error {
 	var members []map[string]any
 	for name, p := range w.peers {
@@ -434,6 +434,9 @@
 	if err != nil {
 		return err
 	}
+	if strings.Contains(flags, "handover") {
+		c.HandoverDir = w.t.TempDir()
+	}
 	clock := func() time.Duration { return time.Duration(w.clock.Load()) }
 	if strings.Contains(flags, "ledger") {
 		options := ledgerio.Defaults()
--- a/internal/sip/serverconn.go
+++ b/internal/sip/serverconn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -68,12 +69,26 @@
 	}
 	peer.retire()
 	peer.dialing, peer.conn = nil, c
+	hasSetups := len(peer.pending) > 0
 	peer.sendPending()
 	pending := peer.pendingReleases
 	peer.pendingReleases = nil
 	for _, id := range pending {
 		c.sendRelease(id)
 	}
+	if peer.trunk.closing && !hasSetups { // it was only opened for releases
+		peer.retire()
+		c.halfClose()
+	}
+}
+
+// halfClose shuts down the write side of the connection, unless that has happened or it can't be used any more. The
+// server has peerCloseTimeout to close its side.
+func (c *serverConn) halfClose() {
+	if c.closeDeadline == 0 && !c.unusable && c.conn.Open() {
+		c.closeDeadline = c.peer.trunk.cfg.Clock() + peerCloseTimeout
+		c.conn.CloseWrite()
+	}
 }
 
 // PeerClosed implements loop.PeerCloseHandler: the server has closed the connection and reads nothing more from it.
@@ -125,12 +140,16 @@
 		return
 	}
 	peer.trunk.counters.Closed++
+	peer.replaced = slices.DeleteFunc(peer.replaced, func(other *serverConn) bool { return other == c })
 	// The server has given up attempts that were pending on it; established calls go on.
 	c.cutPending()
 	if peer.conn == c {
 		peer.conn = nil
 		peer.connect()
 	}
+	if peer.trunk.closing && c.closeDeadline > 0 && err == loop.ErrEOF {
+		return // the server has read all that was written before the half-close
+	}
 	for _, release := range c.unacked.takeLost(now) {
 		peer.trunk.counters.Retold++
 		if peer.conn != nil {
--- a/internal/sip/serverpeer.go
+++ b/internal/sip/serverpeer.go
@@ -89,8 +89,7 @@
 			p.replaced = append(p.replaced, conn)
 		case conn.closeDeadline == 0 && !conn.unusable && conn.conn.Open():
 			// Releases of established calls may be on their way, so it is half-closed until the server closes too.
-			conn.closeDeadline = now + peerCloseTimeout
-			conn.conn.CloseWrite()
+			conn.halfClose()
 			p.replaced = append(p.replaced, conn)
 		default:
 			conn.conn.Close(loop.ErrClosedLocally)
@@ -151,7 +150,8 @@
 
 // connect opens a connection, which replaces the current one once it is established.
 func (p *serverPeer) connect() {
-	if p.dialing != nil || p.removed || p.trunk.closing && len(p.pending) == 0 {
+	isNeeded := !p.trunk.closing || len(p.pending)+len(p.pendingReleases) > 0
+	if p.dialing != nil || p.removed || !isNeeded {
 		return
 	}
 	p.trunk.counters.Dials++
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -53,7 +53,7 @@
 	legs      map[string]*outboundLeg     // the one pending or established attempt of each call, by call ID
 	cancelled map[string]cancelledAttempt // attempts cancelled before their answer, by call ID
 	unsent    []*outboundLeg              // attempts for the next Flush; input handled before may withdraw them
-	closing   bool                        // the process shuts down: connections are only opened for pending set-ups
+	closing   bool                        // the process shuts down: connections are only opened for what must be sent
 	buf       messageBuffer
 	counters  TrunkCounters
 }
@@ -185,22 +185,24 @@
 }
 
 // HalfCloseAll half-closes all connections, for a process that shuts down while another process of this router serves.
-// Messages of a server are still read until it closes its side too; it sends later ones to the other process.
+// Messages of a server are still read until it closes its side too; it sends later ones to the other process. From then
+// on a connection is only opened for a set-up or a release that has to be sent.
 func (t *Trunk) HalfCloseAll() {
 	t.closing = true
 	for _, peer := range t.peers {
 		peer.retire()
 		for _, conn := range peer.replaced {
-			if conn.closeDeadline == 0 && !conn.unusable && conn.conn.Open() {
-				conn.closeDeadline = t.cfg.Clock() + peerCloseTimeout
-				conn.conn.CloseWrite()
-			}
+			conn.halfClose()
 		}
 	}
 }
 
-// HalfClosing reports whether a half-closed connection still waits for the server's close, within peerCloseTimeout.
+// HalfClosing reports whether, after HalfCloseAll, a half-closed connection still waits for the server's close, within
+// peerCloseTimeout.
 func (t *Trunk) HalfClosing() bool {
+	if !t.closing {
+		return false
+	}
 	for _, peer := range t.peers {
 		if slices.ContainsFunc(peer.replaced, func(conn *serverConn) bool {
 			return conn.closeDeadline > t.cfg.Clock()
@@ -211,6 +213,14 @@
 	return false
 }
 
+// PendingReleases returns the number of releases that wait for a connection to their server.
+func (t *Trunk) PendingReleases() (count int) {
+	for _, peer := range t.peers {
+		count += len(peer.pendingReleases)
+	}
+	return count
+}
+
 // checkServers checks every server and drops expired cancelled attempts. It schedules itself again.
 func (t *Trunk) checkServers() {
 	now := t.cfg.Clock()
