--- a/internal/callcontrol/callcontrol.go
+++ b/internal/callcontrol/callcontrol.go
@@ -18,6 +18,7 @@
 	"threadglade.example/threadglade/internal/identity"
 	"threadglade.example/threadglade/internal/loop"
 	"threadglade.example/threadglade/internal/settings"
+	"threadglade.example/threadglade/lifecycle"
 	"threadglade.example/threadglade/router"
 )
 
@@ -147,6 +148,8 @@
 type Front struct {
 	cfg          Config
 	classes      map[string]threadglade.Class
+	longest      time.Duration // longest deadline of the classes
+	process      *lifecycle.Process
 	router       *router.Router
 	clock        router.Clock
 	verify       VerifyFunc
@@ -169,6 +172,8 @@
 	Messages     uint64 // JSON-RPC messages received
 	Faults       uint64 // violations of the WebSocket protocol, other than in close frames
 	Flooded      uint64 // call.place requests refused by the rate limit of a socket
+	Departing    uint64 // call.place requests refused because the process ends
+	Moved        uint64 // connections closed so that their clients connect to the new process
 	Placed       uint64 // calls placed
 	Answers      uint64 // final answers of calls
 	Ended        uint64 // call.ended notifications
@@ -192,10 +197,11 @@
 	graceNumber int                 // numbers the grace periods, so that only the latest one's timer takes effect
 }
 
-// New returns a front for calls of the given classes. It schedules its periodic checks with the router.
-func New(cfg Config, classes []threadglade.Class, r *router.Router, clock router.Clock, verify VerifyFunc,
-	log zerolog.Logger) *Front {
-	f := &Front{cfg: cfg, router: r, clock: clock, verify: verify, log: log,
+// New returns a front for calls of the given classes. It schedules its periodic checks with the router. process decides
+// which calls are taken while the process ends.
+func New(cfg Config, classes []threadglade.Class, process *lifecycle.Process, r *router.Router, clock router.Clock,
+	verify VerifyFunc, log zerolog.Logger) *Front {
+	f := &Front{cfg: cfg, process: process, router: r, clock: clock, verify: verify, log: log,
 		sockets: map[*socket]bool{}, calls: map[string]*call{}, callCounts: map[string]int{}}
 	f.SetClasses(classes)
 	f.sweep()
@@ -205,8 +211,10 @@
 // SetClasses replaces the classes against which further calls are checked.
 func (f *Front) SetClasses(classes []threadglade.Class) {
 	f.classes = make(map[string]threadglade.Class, len(classes))
+	f.longest = 0
 	for _, c := range classes {
 		f.classes[c.Name] = c
+		f.longest = max(f.longest, c.Deadline)
 	}
 }
 
@@ -249,6 +257,7 @@
 	closing      bool            // a close frame has been sent, or the connection is being finished
 	assembler    assembler
 	placeRate    loop.Bucket // limits the calls placed
+	callRefused  bool        // a call was refused because the process ends
 }
 
 // Accept accepts a connection, or returns nil if there are too many or the front is closing. At the limit, the
@@ -298,6 +307,7 @@
 			s.writeFrame(opPing, nil)
 		}
 	}
+	f.moveClients()
 	f.router.Schedule(now+sweepInterval, f.sweep)
 }
 
@@ -615,6 +625,9 @@
 	if s.front.callCounts[s.caller.ID] >= maxCallsPerIdentity {
 		return errorResponse(codeTooManyCalls, "too many calls", nil)
 	}
+	if s.front.process.RefusesCall(s.lastReceived, class.Aim, s.front.longest) {
+		return s.refuseCall()
+	}
 	destination := -1
 	if p.Destination != nil {
 		destination = *p.Destination
@@ -626,7 +639,7 @@
 	s.notify("call.placed", map[string]any{"call": c.id, "request": c.requestID})
 	s.front.router.Arrive(c, router.Request{ID: c.id, Class: p.Class, Number: p.Number,
 		Description: []byte(p.Description), Destination: destination, Retry: p.Retry,
-		Deadline: s.lastReceived + time.Duration(p.Within)*time.Millisecond - answerMargin,
+		Deadline: s.front.answerDeadline(s.lastReceived + time.Duration(p.Within)*time.Millisecond - answerMargin),
 		Caller:   s.conn.Remote().Addr(), Identity: s.caller.ID, Front: "callcontrol"})
 	return nil
 }
@@ -770,7 +783,8 @@
 		c.front.counters.Unclaimed++
 		c.front.log.Info().Str("event", "callcontrol_unclaimed").Str("call", c.id).Str("identity", c.owner).
 			Msgf("call control: call %s of %s was not claimed", c.id, c.owner)
-		if c.established && !c.ended {
+		_, isEnding := c.front.process.LastAnswerAt(c.front.longest)
+		if c.established && !c.ended && !isEnding { // of a process that ends, established calls go on without it
 			c.front.router.Release(c.id)
 		}
 		c.remove()
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -219,6 +219,7 @@
 		}
 		t.count.Handed++
 		t.handedOverAt = n.clock()
+		n.process.HandedOver()
 		n.listener.Close()
 		if n.callControlListener != nil {
 			n.callControlListener.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,7 +244,7 @@
 	if err := n.front.ReserveForFront(cfg.MaxSockets); err != nil {
 		return netip.AddrPort{}, fmt.Errorf("call control: sockets: %w", err)
 	}
-	n.callControl = callcontrol.New(cfg, classes, n.Router, n.clock, verify, n.log)
+	n.callControl = callcontrol.New(cfg, classes, n.process, n.Router, n.clock, verify, n.log)
 	listen := n.Loop.Listen
 	if n.config.HandoverDir != "" {
 		listen = n.Loop.ListenShared
--- a/internal/scenario/operations_test.go
+++ b/internal/scenario/operations_test.go
@@ -479,3 +479,35 @@
 s0 expect BYE c1`,
 	})
 }
+
+// TestShutdownCallControl covers calls that WebSocket clients place while the process shuts down.
+func TestShutdownCallControl(t *testing.T) {
+	place := func(id, destination int) string {
+		return fmt.Sprintf(`w1 send {"jsonrpc":"2.0","id":%d,"method":"call.place","params":{"class":"voice","number":"1",`+
+			`"destination":%d,"answerWithinMs":5000}}`+"\n", id, destination)
+	}
+	runScenarios(t, map[string]string{
+		// Guards against taking calls that are never answered: the process may be killed 3.7 s after it was told to end.
+		// What it takes until then is answered by then, and what it can't answer is refused, so that it ends.
+		"calls of a WebSocket client end in time": `
+s0 open number=0
+s1 open number=1
+start callcontrol
+w1 open id=desk1
+term
+wait 800ms
+` + place(1, 0) + `w1 expect call.placed "request":1 as c
+s0 expect INVITE #$c
+wait 1700ms
+` + place(2, 1) + `w1 expect call.placed "request":2 as c
+s1 expect INVITE #$c
+s1 send 200 INVITE #$c Body=x
+w1 expect "id":2 "state":"standing"
+wait 200ms
+` + place(3, 1) + `w1 expect "id":3 -32001 "retryAfterMs":
+wait 900ms
+w1 expect "id":1 -3200
+wait 200ms
+w1 expect close 1001`,
+	})
+}
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -57,6 +57,7 @@
 	draining                 bool
 	ending                   bool
 	hasSuccessor             bool          // a new process accepts the callers
+	handedOver               bool          // the new process has taken over the callers
 	closingIdle              bool          // no new callers arrive: connections are closed once they are idle
 	leavingSince             time.Duration // when the current drain or shutdown began
 	changes                  uint64
