Trunk: calls cut at a server that was cut off are released once it is reached

Cause: the trunk forgot the calls as it cut them, so the server was never told. Evidence: the new sub-test of TestSIP failed before: 's0 expect BYE c1: no message received' after the server was back. Fix: their releases wait for the next connection to that server. Result: the sub-test passes, with those of scenario and sip; not run on real processes with a longer cut.

--- a/internal/scenario/sip_test.go
+++ b/internal/scenario/sip_test.go
@@ -308,6 +308,18 @@
 	"releases of many calls of an earlier process": oneServer + fmt.Sprintf("a raw %q\n", manyReleases) +
 		expectAnswers + "wait 1s\n" + expectReleases,
 
+	// Guards against calls left standing at a server that was cut off, and not dead: their callers were told that they
+	// are over, so they are released there once it can be reached again.
+	"calls cut at an unreachable server are released once it is reached": callEstablished + `
+s0 hang
+log "unreachable for 2s, 1 attempts cut"
+a expect BYE c1 Reason=cause=41
+s0 close
+s0 open number=0 at=s0
+wait 1s
+s0 expect BYE c1
+a expect silence`,
+
 	// A caller's release of a call whose server is not connected is sent on the server's next connection.
 	"a release waits for the server": callEstablished + `
 s0 close
--- a/internal/sip/serverpeer.go
+++ b/internal/sip/serverpeer.go
@@ -111,6 +111,18 @@
 	return count
 }
 
+// cutUnreachable ends the attempts at a server that can't be reached as cut and returns their number. Those that wait
+// for a connection have their own, shorter timeout. The server may only be cut off and keep its calls, whose callers are
+// told that they are over, so these are released once it is reached.
+func (p *serverPeer) cutUnreachable() int {
+	for _, leg := range p.trunk.legs {
+		if leg.peer == p && leg.established {
+			p.queueRelease(leg.ID)
+		}
+	}
+	return p.cutLegs(func(leg *outboundLeg) bool { return leg.conn != nil })
+}
+
 // check closes unused connections and those with an incomplete message, fails attempts that have waited too long for
 // a connection, opens one if there is none, the current one is silent or the server is unreachable, and cuts its calls
 // after deadServerTimeout.
@@ -140,8 +152,7 @@
 		}
 	}
 	if p.unreachableSince > 0 && now-p.unreachableSince > deadServerTimeout && p.legCount > 0 {
-		// Attempts that wait for a connection have their own, shorter timeout.
-		if n := p.cutLegs(func(leg *outboundLeg) bool { return leg.conn != nil }); n > 0 {
+		if n := p.cutUnreachable(); n > 0 {
 			p.trunk.cfg.Log.Warn().Str("event", "server_dead").Str("server", p.server.ID).Int("cut", n).
 				Msgf("server %s has been unreachable for %v, %d attempts cut", p.server.ID, deadServerTimeout, n)
 		}
@@ -168,7 +179,11 @@
 
 // queueRelease keeps a release for the next connection, unless maxPendingReleases wait already.
 func (p *serverPeer) queueRelease(id string) {
-	if !p.removed && len(p.pendingReleases) < maxPendingReleases {
+	switch {
+	case p.removed:
+	case len(p.pendingReleases) >= maxPendingReleases:
+		p.trunk.counters.Dropped++
+	default:
 		p.pendingReleases = append(p.pendingReleases, id)
 	}
 }
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -87,6 +87,7 @@
 	Blocked     uint64 // set-ups that waited because their server did not read
 	Stuck       uint64 // connections closed because a cancelled set-up was partly written
 	Retold      uint64 // releases sent again because their connection closed before they were acknowledged
+	Dropped     uint64 // releases that were not kept because maxPendingReleases waited for their server
 	Peers       int    // servers
 	Legs        int    // attempts pending or established
 	Given       int    // cancelled attempts remembered
@@ -155,7 +156,7 @@
 		case old.Addr != server.Addr:
 			t.cfg.Log.Info().Str("event", "server_moved").Str("server", server.ID).Stringer("address", server.Addr).
 				Msgf("server %s has moved to %s", server.ID, server.Addr)
-			peer.cutLegs(func(leg *outboundLeg) bool { return leg.conn != nil })
+			peer.cutUnreachable()
 			peer.closeConns()
 			peer.connect()
 		case old.Started != server.Started:
