Trunk: the connection that a new process needs is tried until it opens

Cause: Trunk.Reconnect tries once, and nothing tries again while the current connection works. Evidence: TestUpgradeReconnects failed before: no release within 3 s after new connections came up again. Fix: serverPeer.mustReconnect stands until a new connection has opened. The stand-in for a port whose connections never come up moves from the scenarios to internal/standin.

--- a/cmd/threadglade/upgrade_test.go
+++ b/cmd/threadglade/upgrade_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -437,3 +438,115 @@
 	<-old.exited
 	next.terminate(t)
 }
+
+// unreadReleaseServer is a case server that has sent the release of its call to a process which died without reading it,
+// and sends it again on the next connection that is opened, as case servers do.
+type unreadReleaseServer struct {
+	mu       sync.Mutex
+	callConn net.Conn // of the set-up
+	call     string
+	released bool
+}
+
+func (s *unreadReleaseServer) serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *unreadReleaseServer) serveConn(conn net.Conn) {
+	defer conn.Close()
+	s.mu.Lock()
+	if s.released {
+		conn.Write(standin.Request("BYE", s.call, s.call, "", "Reason", "Q.850;cause=16"))
+	}
+	s.mu.Unlock()
+	done := make(chan bool)
+	defer close(done)
+	go func() { // reports keep the connection from counting as silent
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(200 * time.Millisecond):
+				conn.Write(standin.Request("NOTIFY", "state", "0000000000000000", "", "Link-State", "x0:1000;x1:1000"))
+			}
+		}
+	}()
+	r := bufio.NewReader(conn)
+	for {
+		m, err := standin.ReadMessage(r)
+		if err != nil {
+			return
+		}
+		if m.Status() == 0 && m.Method() == "INVITE" {
+			s.mu.Lock()
+			s.callConn, s.call = conn, m.CallID()
+			s.mu.Unlock()
+			conn.Write(standin.Response(200, "INVITE", m.CallID(), "x=1\r\n"))
+		}
+	}
+}
+
+// release sends the release of the call on the connection of its set-up.
+func (s *unreadReleaseServer) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.released = true
+	s.callConn.Write(standin.Request("BYE", s.call, s.call, "", "Reason", "Q.850;cause=16"))
+}
+
+// TestUpgradeReconnects guards against losing a release that the old process did not read before it died: the case
+// server sends it again only on a new connection, and the first one that the new process tries does not come up.
+func TestUpgradeReconnects(t *testing.T) {
+	t.Parallel()
+	s := newTestbed(t, 0, standin.ServerConfig{})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := listener.Addr().(*net.TCPAddr)
+	server := &unreadReleaseServer{}
+	go server.serve(listener)
+	list := []standin.Entry{{ID: "s0", Addr: addr.AddrPort()}}
+	s.names.SetServers(7, list)
+	u := &upgradeTest{t: t, testbed: s, listen: freeAddress(t), tmpDir: t.TempDir()}
+	u.env = []string{"NODE_CONFIG=" + s.writeFile("n0.json", string(standin.RouterConfig("n0", u.listen, s.names.Addr(),
+		7, list)))}
+	old := u.start()
+	c, err := dial(u.listen)
+	require.NoError(t, err)
+	defer c.Close()
+	id := standin.CallID("unread")
+	require.Equal(t, 200, c.request(2*time.Second, "INVITE", id, "x=1\r\n", "Call-Kind", "voice", "Answer-Within",
+		"2000", "Routing-Data", "dest:0;width:1;via:-1"))
+	next := u.start()
+	require.NoError(t, old.cmd.Process.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return strings.Contains(old.log(), "event=handed_over") }, 3*time.Second,
+		time.Millisecond)
+	require.Equal(t, 200, c.request(2*time.Second, "OPTIONS", "0000000000000001", ""), "the caller was not handed over")
+	old.suspend(t)
+	server.release()
+	listener.Close()
+	releasePort, err := standin.BlockPort(addr)
+	defer releasePort()
+	require.NoError(t, err)
+	old.kill()
+	time.Sleep(700 * time.Millisecond) // longer than the connect timeout, 500 ms
+	releasePort()
+	listener, err = net.ListenTCP("tcp4", addr)
+	require.NoError(t, err)
+	defer listener.Close()
+	go server.serve(listener)
+	c.SetDeadline(time.Now().Add(3 * time.Second))
+	for {
+		m, err := standin.ReadMessage(c.r)
+		require.NoError(t, err, "the caller never received the release: %s", next.log())
+		if m.Method() == "BYE" && m.Status() == 0 && m.CallID() == id {
+			break
+		}
+	}
+	next.terminate(t)
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -57,7 +57,6 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"threadglade.example/threadglade/internal/callcontrol"
 	"threadglade.example/threadglade/internal/durable/durabletest"
@@ -517,9 +516,9 @@
 	conn         net.Conn // the latest
 	previousConn net.Conn // the one before conn
 	listener     *net.TCPListener
-	received     chan any // standin.Message, wsMessage, string (an HTTP response) or error
-	unread       any      // message to be received before the others
-	backlogFDs   []int
+	received     chan any   // standin.Message, wsMessage, string (an HTTP response) or error
+	unread       any        // message to be received before the others
+	releasePort  func()     // ends hang; nil: it is not in effect
 	readMutex    sync.Mutex // held while a case server does not read
 }
 
@@ -727,36 +726,19 @@
 		p.conn.Close()
 	}
 	p.conn = nil
-	for _, fd := range p.backlogFDs {
-		unix.Close(fd)
+	if p.releasePort != nil {
+		p.releasePort()
 	}
-	p.backlogFDs = nil
+	p.releasePort = nil
 }
 
-// hang simulates a machine that vanishes: open connections stay open and silent, and new ones never come up,
-// because the listening socket accepts none and its backlog is full.
+// hang simulates a machine that vanishes: open connections stay open and silent, and new ones never come up.
 func (p *peer) hang() error {
 	addr := p.listener.Addr().(*net.TCPAddr)
 	p.listener.Close()
-	sa := &unix.SockaddrInet4{Port: addr.Port, Addr: [4]byte(addr.IP.To4())}
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
-	if err != nil {
-		return err
-	}
-	p.backlogFDs = append(p.backlogFDs, fd)
-	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err := errors.Join(unix.Bind(fd, sa), unix.Listen(fd, 0)); err != nil {
-		return err
-	}
-	for range 3 {
-		client, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
-		if err != nil {
-			return err
-		}
-		p.backlogFDs = append(p.backlogFDs, client)
-		unix.Connect(client, sa)
-	}
-	return nil
+	release, err := standin.BlockPort(addr)
+	p.releasePort = release
+	return err
 }
 
 // startNameService starts a name service that answers every other query.
--- a/internal/sip/serverconn.go
+++ b/internal/sip/serverconn.go
@@ -68,7 +68,7 @@
 		c.predecessor = peer.conn
 	}
 	peer.retire()
-	peer.dialing, peer.conn = nil, c
+	peer.dialing, peer.conn, peer.mustReconnect = nil, c, false
 	hasSetups := len(peer.pending) > 0
 	peer.sendPending()
 	pending := peer.pendingReleases
--- a/internal/sip/serverpeer.go
+++ b/internal/sip/serverpeer.go
@@ -30,6 +30,7 @@
 	removed           bool
 	conn              *serverConn   // for new set-ups; nil while there is none
 	dialing           *serverConn   // being opened; nil: none
+	mustReconnect     bool          // a new connection is needed although the current one works
 	replaced          []*serverConn // former connections that are still open
 	lastDial          time.Duration
 	lastReceived      time.Duration  // when data last arrived on any of its connections; 0: never
@@ -143,7 +144,7 @@
 	}
 	if p.dialing == nil && now-p.lastDial >= redialDelay {
 		switch {
-		case p.conn == nil, p.unreachableSince > 0:
+		case p.conn == nil, p.unreachableSince > 0, p.mustReconnect:
 			p.connect()
 		case p.legCount > 0 && p.conn.silence.NeedsProbe(now) ||
 			p.conn.silence.MissedReport(now, &p.reportIntervals):
--- a/internal/sip/trunk.go
+++ b/internal/sip/trunk.go
@@ -181,6 +181,7 @@
 // gone did not acknowledge.
 func (t *Trunk) Reconnect() {
 	for _, peer := range t.peers {
+		peer.mustReconnect = true
 		peer.connect()
 	}
 }
