Call control: established calls are passed on to the new process with their clients

Cause: the new process did not know the calls. Fix: as the old process closes a socket it passes its established calls on (frameClientCall) and their ends (frameClientCallEnded); clients attach to them, release them and hear of their ends at the new process.

--- a/cmd/threadglade/callcontrol_upgrade_test.go
+++ b/cmd/threadglade/callcontrol_upgrade_test.go
@@ -67,7 +67,7 @@
 			d.place(conn, id)
 			time.Sleep(interval)
 		}
-		time.Sleep(2 * time.Second) // longer than any answer takes here
+		time.Sleep(7 * time.Second) // longer than any call takes here
 	}()
 	return d, done
 }
@@ -166,8 +166,9 @@
 }
 
 // TestUpgradeCallControl guards against calls that an old process takes on its open WebSockets and never answers, since
-// it is killed. A desk goes on placing calls on one WebSocket during an upgrade: each call that is confirmed to it has
-// one final answer, and it is moved to the new process in time.
+// it is killed, and against calls whose end nobody tells the client after that. A desk goes on placing calls on one
+// WebSocket during an upgrade: each call that is confirmed to it has one final answer, it is moved to the new process in
+// time, and it is told of the end of each established call.
 func TestUpgradeCallControl(t *testing.T) {
 	t.Parallel()
 	u := newUpgrade(t)
@@ -192,19 +193,24 @@
 	<-done
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	unanswered, byNext := 0, 0
+	unanswered, untold, byNext := 0, 0, 0
 	for id, call := range d.calls {
 		excused := call.sentAt.Before(toldAt.Add(700 * time.Millisecond))
 		if call.answers != 1 && !excused {
 			unanswered++
 			t.Logf("call %s, sent %v after SIGTERM, has %d answers", id, call.sentAt.Sub(toldAt), call.answers)
 		}
+		if call.answers == 1 && call.code == 0 && !call.ended {
+			untold++
+			t.Logf("call %s, sent %v after SIGTERM, was established, and its end not told", id, call.sentAt.Sub(toldAt))
+		}
 		if call.sentAt.After(toldAt.Add(killDelay)) && call.answers == 1 && call.code == 0 {
 			byNext++
 		}
 	}
 	t.Logf("%d calls confirmed, %d requests refused, %d WebSockets", len(d.calls), d.refused, d.sockets)
 	require.Zero(t, unanswered, "%s\n%s", old.log(), next.log())
+	require.Zero(t, untold, "%s\n%s", old.log(), next.log())
 	require.Greater(t, byNext, 10, "the desk was not served by the new process")
 	require.Equal(t, 2, d.sockets)
 }
--- a/internal/callcontrol/callcontrol.go
+++ b/internal/callcontrol/callcontrol.go
@@ -150,6 +150,7 @@
 	classes      map[string]threadglade.Class
 	longest      time.Duration // longest deadline of the classes
 	process      *lifecycle.Process
+	newProcess   CallOwner // takes established calls over; nil: none does
 	router       *router.Router
 	clock        router.Clock
 	verify       VerifyFunc
@@ -174,6 +175,7 @@
 	Flooded      uint64 // call.place requests refused by the rate limit of a socket
 	Departing    uint64 // call.place requests refused because the process ends
 	Moved        uint64 // connections closed so that their clients connect to the new process
+	Adopted      uint64 // established calls taken over from an old process
 	Placed       uint64 // calls placed
 	Answers      uint64 // final answers of calls
 	Ended        uint64 // call.ended notifications
@@ -194,6 +196,7 @@
 	established bool
 	ended       bool
 	outcome     threadglade.Outcome // valid once ended is set
+	passedOn    bool                // a new process has taken it over
 	graceNumber int                 // numbers the grace periods, so that only the latest one's timer takes effect
 }
 
@@ -240,6 +243,7 @@
 func (f *Front) Close() {
 	f.closing = true
 	for s := range f.sockets {
+		f.passOnCalls(s)
 		s.close(closeGoingAway, "the router ends")
 	}
 }
@@ -307,7 +311,7 @@
 			s.writeFrame(opPing, nil)
 		}
 	}
-	f.moveClients()
+	f.moveClients(now)
 	f.router.Schedule(now+sweepInterval, f.sweep)
 }
 
@@ -843,6 +847,9 @@
 func (c *call) Released(_ string, outcome threadglade.Outcome) {
 	c.ended, c.outcome = true, outcome
 	switch {
+	case c.passedOn:
+		c.front.newProcess.PassOnEnd(c.id, outcome)
+		c.remove()
 	case c.undelivered != nil: // kept for the grace period: a socket that attaches receives the answer and call.ended
 	case c.socket != nil:
 		c.socket.notifyEnded(c.id, outcome)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -25,6 +25,10 @@
 	// frameTakenOver confirms that the new process accepts callers.
 	frameTakeOver  = sip.FirstOwnerFrame
 	frameTakenOver = sip.FirstOwnerFrame + 1
+	// frameClientCall passes an established call of call control on to the new process: the length of its ID (1 byte),
+	// the ID, the identity. frameClientCallEnded passes its end on: the outcome (1 byte), the ID.
+	frameClientCall      = sip.FirstOwnerFrame + 2
+	frameClientCallEnded = sip.FirstOwnerFrame + 3
 	// busyRetryInterval is the delay before a process asks again after it has found another one about to take over.
 	busyRetryInterval = 100 * time.Millisecond
 	// standbyReachTimeout bounds how long a process in standby waits for data from all case servers before it reports
@@ -144,6 +148,9 @@
 	if n.fleet != nil && n.fleet.HasTakeover() && !n.fleet.ReceiveEnd(id, uint8(outcome), false) {
 		return // the owner of the call is notified and notifies the caller
 	}
+	if n.callControl != nil && n.callControl.EndAdopted(id, outcome) {
+		return
+	}
 	if !n.handover.asNewProcess.InStandby() { // in standby it is the old process's call, which receives the release too
 		n.front.ReleaseToCaller(id, outcome)
 	}
@@ -231,6 +238,9 @@
 			n.fleet.Leave()
 		}
 		n.front.HandOver(t.newProcessLink)
+		if n.callControl != nil {
+			n.callControl.HandOver(clientCalls{n})
+		}
 		n.log.Info().Str("event", "handed_over").Int("open", n.Router.OpenRequests()).
 			Msgf("callers handed over: this process still answers %d open requests", n.Router.OpenRequests())
 	case fd < 0 && n.front.HandleSuccessorFrame(kind, payload):
@@ -239,6 +249,40 @@
 	}
 }
 
+// clientCalls implements callcontrol.CallOwner: it passes calls on through the link to the new process.
+type clientCalls struct{ n *Node }
+
+// PassOn implements callcontrol.CallOwner.
+func (c clientCalls) PassOn(id, identity string) bool {
+	link := c.n.handover.newProcessLink
+	payload := append(append([]byte{byte(len(id))}, id...), identity...)
+	return link != nil && link.Send(frameClientCall, payload, -1, false)
+}
+
+// PassOnEnd implements callcontrol.CallOwner.
+func (c clientCalls) PassOnEnd(id string, outcome threadglade.Outcome) {
+	if link := c.n.handover.newProcessLink; link != nil {
+		link.Send(frameClientCallEnded, append([]byte{byte(outcome)}, id...), -1, false)
+	}
+}
+
+// onClientCallFrame handles a frame about a call of call control from the old process. It returns false if the frame is
+// of another kind or malformed.
+func (n *Node) onClientCallFrame(kind byte, payload []byte) bool {
+	switch {
+	case n.callControl == nil || len(payload) < 2:
+		return false
+	case kind == frameClientCall && len(payload) > 1+int(payload[0]):
+		idEnd := 1 + int(payload[0])
+		n.callControl.AdoptCall(string(payload[1:idEnd]), string(payload[idEnd:]))
+	case kind == frameClientCallEnded:
+		n.callControl.EndAdopted(string(payload[1:]), threadglade.Outcome(payload[0]))
+	default:
+		return false
+	}
+	return true
+}
+
 // mayExitAfterHandover reports whether a process that has handed its callers over may exit: it has no calls and
 // nothing to send any more, or its time is over.
 func (n *Node) mayExitAfterHandover() bool {
@@ -262,6 +306,7 @@
 		n.Router.AllowReleasesOfOtherProcess(int(min(binary.BigEndian.Uint32(payload), 1<<20)))
 		n.takeOver("takeover requested")
 		t.oldProcessLink.Send(frameTakenOver, nil, -1, false)
+	case fd < 0 && n.onClientCallFrame(kind, payload):
 	case n.front.HandleOldProcessFrame(n.Loop, kind, payload, fd, t.oldProcessLink):
 	default:
 		if fd >= 0 {
--- a/lifecycle/ending.go
+++ b/lifecycle/ending.go
@@ -49,7 +49,9 @@
 
 // ShouldMove reports whether the connection is closed now so that its client connects to the new process. One with
 // pending calls stays until they are answered here, one with established calls until the client places another call
-// that this process can't take.
-func (p *Process) ShouldMove(client ClientState) bool {
-	return p.handedOver && client.PendingCalls == 0 && (client.EstablishedCalls == 0 || client.CallRefused)
+// that this process can't take, or until this process may be killed soon.
+func (p *Process) ShouldMove(now, longestDeadline time.Duration, client ClientState) bool {
+	last, _ := p.LastAnswerAt(longestDeadline)
+	return p.handedOver && client.PendingCalls == 0 &&
+		(client.EstablishedCalls == 0 || client.CallRefused || now >= last)
 }
--- a/lifecycle/ending_test.go
+++ b/lifecycle/ending_test.go
@@ -35,14 +35,19 @@
 }
 
 // A client moves to the new process as soon as that costs it no call, and with established calls once this process takes
-// no more of its calls. Without a new process it stays.
+// no more of its calls or may be killed soon. Without a new process it stays.
 func TestShouldMove(t *testing.T) {
 	var p Process
-	p.End(time.Hour)
-	require.False(t, p.ShouldMove(ClientState{CallRefused: true}))
+	now, longest := time.Hour, 5*time.Second
+	shouldMove := func(client ClientState) bool { return p.ShouldMove(now, longest, client) }
+	p.End(now)
+	require.False(t, shouldMove(ClientState{CallRefused: true}))
 	p.HandedOver()
-	require.True(t, p.ShouldMove(ClientState{}))
-	require.False(t, p.ShouldMove(ClientState{EstablishedCalls: 1}))
-	require.True(t, p.ShouldMove(ClientState{EstablishedCalls: 1, CallRefused: true}))
-	require.False(t, p.ShouldMove(ClientState{PendingCalls: 1, CallRefused: true}))
+	require.True(t, shouldMove(ClientState{}))
+	require.False(t, shouldMove(ClientState{EstablishedCalls: 1}))
+	require.True(t, shouldMove(ClientState{EstablishedCalls: 1, CallRefused: true}))
+	require.False(t, shouldMove(ClientState{PendingCalls: 1, CallRefused: true}))
+	now += 3600 * ms
+	require.True(t, shouldMove(ClientState{EstablishedCalls: 1}))
+	require.False(t, shouldMove(ClientState{PendingCalls: 1}))
 }
