--- a/cmd/threadglade/upgrade_test.go
+++ b/cmd/threadglade/upgrade_test.go
@@ -505,7 +505,7 @@
 func TestUpgradeReconnects(t *testing.T) {
 	t.Parallel()
 	s := newTestbed(t, 0, standin.ServerConfig{})
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", freeAddress(t)) // no other socket takes the port while it is not bound
 	require.NoError(t, err)
 	addr := listener.Addr().(*net.TCPAddr)
 	server := &unreadReleaseServer{}
