Stand-ins: the sockets of a blocked port are not inherited by child processes

BlockPort opened its sockets without close-on-exec, and the routers that other tests started meanwhile kept the port bound. Change: SOCK_CLOEXEC.

--- a/internal/standin/blocked.go
+++ b/internal/standin/blocked.go
@@ -22,7 +22,7 @@
 		fds = nil
 	}
 	sa := &unix.SockaddrInet4{Port: addr.Port, Addr: [4]byte(addr.IP.To4())}
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return release, err
 	}
@@ -32,7 +32,7 @@
 		return release, err
 	}
 	for range backlogFillers {
-		client, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+		client, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 		if err != nil {
 			return release, err
 		}
