--- a/review/stand2/case_books.go
+++ b/review/stand2/case_books.go
@@ -15,7 +15,7 @@
 // partitionFor is how long the fleet pages say that a zone is partitioned.
 const partitionFor = 6 * time.Second
 
-func init() { cases["8"] = billedTwice }
+func init() { cases["9"] = billedTwice }
 
 // billedTwice: merged totals match the calls that the case servers counted, and no call is billed twice.
 func billedTwice(b *bench) error {
--- a/review/stand2/case_desk.go
+++ b/review/stand2/case_desk.go
@@ -12,7 +12,7 @@
 	"threadglade.example/threadglade/internal/standin"
 )
 
-func init() { cases["9"] = answerLostInUpgrade }
+func init() { cases["10"] = answerLostInUpgrade }
 
 // mgmt sends a request to a process's address for operators and returns the status; 0: none.
 func mgmt(method, addr, path string) int {
@@ -50,7 +50,7 @@
 		}
 		d.servers = append(d.servers, server)
 	}
-	names, err := newToldNames(b, 7, entries(d.servers))
+	names, err := newNames(d.servers)
 	if err != nil {
 		return nil, err
 	}
@@ -58,7 +58,7 @@
 	if d.desk, settings, err = newDesk(b, standin.FreeAddr()); err != nil {
 		return nil, err
 	}
-	d.config = b.write("n0.json", s.config("n0", standin.FreeAddr(), names.addr(), 7, d.servers))
+	d.config = b.write("n0.json", s.config("n0", standin.FreeAddr(), names.Addr(), 7, d.servers))
 	d.settings = b.write("n0.edn", []byte(settings))
 	d.tmp = filepath.Join(b.tmp, "shared")
 	return d, os.MkdirAll(d.tmp, 0o755)
--- a/review/stand2/case_standby.go
+++ b/review/stand2/case_standby.go
@@ -31,7 +31,7 @@
 		}
 		servers = append(servers, server)
 	}
-	names, err := newToldNames(b, 7, entries(servers))
+	names, err := newNames(servers)
 	if err != nil {
 		return err
 	}
@@ -39,7 +39,7 @@
 	if err := os.MkdirAll(shared, 0o755); err != nil {
 		return err
 	}
-	config := b.write("n0.json", s.config("n0", listen, names.addr(), 7, servers))
+	config := b.write("n0.json", s.config("n0", listen, names.Addr(), 7, servers))
 	start := func(name string) (*process, error) {
 		addr := standin.FreeAddr()
 		p, err := b.serve(name, config, "", "NODE_MGMT="+addr, "TMPDIR="+shared)
--- a/review/stand2/common.go
+++ b/review/stand2/common.go
@@ -266,10 +266,16 @@
 	return text
 }
 
-// entries returns the servers' entries in the list of the name service.
-func entries(servers []*caseServer) (list []standin.Entry) {
+// newNames starts a name service with the list of the servers.
+func newNames(servers []*caseServer) (*standin.NameService, error) {
+	names, err := standin.NewNameService(7, false)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotRun, err)
+	}
+	var list []standin.Entry
 	for _, s := range servers {
 		list = append(list, s.entry())
 	}
-	return list
+	names.SetServers(7, list)
+	return names, nil
 }
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -37,10 +37,9 @@
 		f.servers = append(f.servers, server)
 	}
 	var err error
-	if f.names, err = standin.NewNameService(7, false); err != nil {
-		return nil, fmt.Errorf("%w: %w", errNotRun, err)
+	if f.names, err = newNames(f.servers); err != nil {
+		return nil, err
 	}
-	f.names.SetServers(7, entries(f.servers))
 	var listen []string
 	for range 3 {
 		listen = append(listen, standin.FreeAddr())
