--- a/review/stand2/common.go
+++ b/review/stand2/common.go
@@ -165,10 +165,18 @@
 	if settings != "" {
 		line += " --settings " + settings
 	}
+	p, err := b.launch(name, line, append([]string{"NODE_CONFIG=" + config, "TMPDIR=" + b.tmp}, env...)...)
+	if err != nil {
+		return nil, err
+	}
+	return p, b.await(15*time.Second, name+" serves", func() bool { return p.log.contains("serving on") })
+}
+
+// launch starts a program by a command line.
+func (b *bench) launch(name, line string, env ...string) (*process, error) {
 	p := &process{name: name, cmd: exec.Command("/bin/sh", "-c", line), log: &syncBuffer{}, exited: make(chan struct{})}
 	p.cmd.Dir = b.root
-	p.cmd.Env = append(os.Environ(), "NODE_CONFIG="+config, "TMPDIR="+b.tmp)
-	p.cmd.Env = append(p.cmd.Env, env...)
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
@@ -180,7 +188,7 @@
 		close(p.exited)
 	}()
 	b.procs = append(b.procs, p)
-	return p, b.await(15*time.Second, name+" serves", func() bool { return p.log.contains("serving on") })
+	return p, nil
 }
 
 // await waits until a condition holds.
