--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -32,6 +32,8 @@
 	status        int
 	answers       int
 	endedAt       time.Time // released by the router
+	hungUpAt      time.Time // released by the caller
+	heardAt       time.Time // the router answered the caller's release with 200
 	lost          bool      // its connection ended before the answer
 }
 
@@ -75,6 +77,20 @@
 	return id, nil
 }
 
+// hangUp releases a call that stands.
+func (c *callers) hangUp(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[id]
+	w, err := c.connect()
+	if err != nil || call.status != 200 || !call.endedAt.IsZero() {
+		return
+	}
+	c.b.note("caller: releases %s", id)
+	call.hungUpAt = time.Now()
+	w.send(standin.Request("BYE", id, id, "", "Reason", "Q.850;cause=16"))
+}
+
 // read handles what the router sends.
 func (c *callers) read(w *wire) {
 	r := bufio.NewReader(w)
@@ -116,6 +132,9 @@
 				ended = func() { c.onEnd(id, m.Status()) }
 			}
 		}
+	case m.Status() == 200 && m.Method() == "BYE" && call != nil:
+		c.b.note("caller: release of %s answered with 200", id)
+		call.heardAt = time.Now()
 	case m.Status() == 0 && m.Method() == "BYE":
 		w.send(standin.Response(200, "BYE", id, ""))
 		c.b.note("caller: %s released by the router", id)
--- a/review/stand2/case_twice.go
+++ b/review/stand2/case_twice.go
@@ -42,7 +42,7 @@
 func refusedAlthoughSent(b *bench) error {
 	s := site{classes: []class{{"booking", "single_shot", 2000, 9000}}, maxAttempts: 6, drainGrace: 1000,
 		releaseWait: 200, holding: 5000}
-	f, err := newFleet(b, s, false, func(string, standin.Message) behaviour {
+	f, err := newFleet(b, s, func(string, standin.Message) behaviour {
 		return behaviour{delay: 400 * time.Millisecond, hold: 5 * time.Second}
 	})
 	if err != nil {
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os/exec"
 	"path/filepath"
@@ -22,12 +21,11 @@
 	listens []string
 	configs []string
 	paths   []string
-	callers *callers    // of the first router
-	links   []*cuttable // between the first router and the others
+	callers *callers // of the first router
 }
 
 // newFleet starts the fleet and waits until each router has its lease.
-func newFleet(b *bench, s site, withLedger bool, plan func(string, standin.Message) behaviour) (*fleetOf, error) {
+func newFleet(b *bench, s site, plan func(string, standin.Message) behaviour) (*fleetOf, error) {
 	f := &fleetOf{b: b}
 	for i := range 2 {
 		server, err := newCaseServer(b, i, plan)
@@ -44,49 +42,21 @@
 	for range 3 {
 		listen = append(listen, standin.FreeAddr())
 	}
-	// reach returns where one router reaches another: between the first and the others there is a proxy.
-	reach := func(from, to int) (string, error) {
-		if from == to || from > 0 && to > 0 {
-			return listen[to], nil
-		}
-		link, err := newCuttable(listen[to])
-		if err != nil {
-			return "", err
-		}
-		f.links = append(f.links, link)
-		return link.addr, nil
+	keepers := ""
+	for i := range 3 {
+		keepers += fmt.Sprintf("    (keeper \"n%d\" (address %q))\n", i, listen[i])
 	}
-	settings := func(i int) (withBooks, plain string) {
-		keepers, ledger := "", ""
-		for other := range 3 {
-			address, err2 := reach(i, other)
-			err = errors.Join(err, err2)
-			keepers += fmt.Sprintf("    (keeper \"n%d\" (address %q))\n", other, address)
-			if other != i {
-				keepers += fmt.Sprintf("    (reach \"n%d\" (address %q))\n", other, address)
-			}
-		}
-		if withLedger {
-			ledger = fmt.Sprintf("\n  (ledger (directory %q) (period 1m) (grace 1s) (unknown-after 20s))", f.ledger(i))
-		}
-		text := func(ledger string) string {
-			return fmt.Sprintf("(threadglade\n  (log (level info) (form text))\n  (fleet\n    (name \"review\")\n"+
-				"    (directory %q)\n    (lease 3s) (renew 1s) (drift-percent 1)\n%s    (members \"n*\")\n"+
-				"    (zone \"z%d\") (listen %q))\n  (takeover)%s)\n",
-				filepath.Join(b.tmp, "fleet", fmt.Sprintf("n%d", i)), keepers, i, listen[i], ledger)
-		}
-		return text(ledger), text("")
+	settings := func(i int) string {
+		return fmt.Sprintf("(threadglade\n  (log (level info) (form text))\n  (fleet\n    (name \"review\")\n"+
+			"    (directory %q)\n    (lease 3s) (renew 1s) (drift-percent 1)\n%s    (members \"n*\")\n"+
+			"    (zone \"z%d\") (listen %q))\n  (takeover))\n",
+			filepath.Join(b.tmp, "fleet", fmt.Sprintf("n%d", i)), keepers, i, listen[i])
 	}
-	var paths, commands []string // the commands take no settings of a ledger
+	var paths []string
 	for i := range 3 {
-		withBooks, plain := settings(i)
-		paths = append(paths, b.write(fmt.Sprintf("n%d.edn", i), []byte(withBooks)))
-		commands = append(commands, b.write(fmt.Sprintf("command%d.edn", i), []byte(plain)))
-	}
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errNotRun, err)
+		paths = append(paths, b.write(fmt.Sprintf("n%d.edn", i), []byte(settings(i))))
 	}
-	found := exec.Command("/bin/sh", "-c", "exec bin/threadglade fleet found --settings "+commands[0]+" -o "+
+	found := exec.Command("/bin/sh", "-c", "exec bin/threadglade fleet found --settings "+paths[0]+" -o "+
 		filepath.Join(b.tmp, "fleet"))
 	found.Dir = b.root
 	if out, err := found.CombinedOutput(); err != nil {
@@ -104,7 +74,7 @@
 	}
 	for i, p := range f.routers {
 		if err := b.await(20*time.Second, p.name+" has its lease and two holders", func() bool {
-			return strings.Contains(f.work(commands[i]), fmt.Sprintf("n%d", (i+1)%3)) && p.log.contains("lease")
+			return strings.Contains(f.work(paths[i]), fmt.Sprintf("n%d", (i+1)%3)) && p.log.contains("lease")
 		}); err != nil {
 			return nil, err
 		}
@@ -115,26 +85,6 @@
 	return f, nil
 }
 
-// ledger returns the folder of a router's ledger.
-func (f *fleetOf) ledger(i int) string { return filepath.Join(f.b.tmp, fmt.Sprintf("ledger%d", i)) }
-
-// cutOff cuts the first router off from the others, or heals the links.
-func (f *fleetOf) cutOff(cut bool) {
-	f.b.note("n0 cut off from n1 and n2: %v", cut)
-	for _, link := range f.links {
-		link.setCut(cut)
-	}
-}
-
-// run runs a command of the program and returns what it prints.
-func (f *fleetOf) run(line string) ([]byte, error) {
-	cmd := exec.Command("/bin/sh", "-c", "exec bin/threadglade "+line)
-	cmd.Dir = f.b.root
-	out, err := cmd.CombinedOutput()
-	f.b.note("threadglade %s: %v\n%s", line, err, out)
-	return out, err
-}
-
 // work returns what the command for operators says of the work in hand.
 func (f *fleetOf) work(settings string) string {
 	cmd := exec.Command("/bin/sh", "-c", "exec bin/threadglade fleet work --settings "+settings)
--- a/review/stand2/link.go
+++ b/review/stand2/link.go
@@ -7,76 +7,64 @@
 	"threadglade.example/threadglade/internal/standin"
 )
 
-// cuttable is a proxy in front of an address that can be cut off: what is sent then arrives nowhere, and connections
-// stay open and silent.
-type cuttable struct {
+// path is a proxy in front of an address whose connections can fall silent: they stay open, and nothing passes.
+type path struct {
 	addr, target string
 	mu           sync.Mutex
-	isCut        bool
-	conns        map[net.Conn]bool
+	conns        []net.Conn // kept, so that silent ones stay open
+	accepted     int        // connections so far
+	frozen       int        // of these, silent ones: the first so many
 }
 
-// newCuttable starts a proxy.
-func newCuttable(target string) (*cuttable, error) {
-	c := &cuttable{addr: standin.FreeAddr(), target: target, conns: map[net.Conn]bool{}}
-	l, err := net.Listen("tcp4", c.addr)
+// newPath starts a proxy.
+func newPath(target string) (*path, error) {
+	p := &path{addr: standin.FreeAddr(), target: target}
+	l, err := net.Listen("tcp4", p.addr)
 	if err != nil {
 		return nil, err
 	}
 	go func() {
 		for {
-			conn, err := l.Accept()
+			near, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go c.serve(conn)
+			if far, err := net.Dial("tcp4", p.target); err != nil {
+				near.Close()
+			} else {
+				p.pass(near, far)
+			}
 		}
 	}()
-	return c, nil
-}
-
-// setCut cuts the proxy off, or heals it: the connections of before then end.
-func (c *cuttable) setCut(cut bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.isCut = cut; !cut {
-		for conn := range c.conns {
-			conn.Close()
-		}
-	}
+	return p, nil
 }
 
-// add adds a connection.
-func (c *cuttable) add(conn net.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.conns[conn] = true
+// freeze has the connections of now fall silent. Later ones pass.
+func (p *path) freeze() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = p.accepted
 }
 
-// drops reports whether what is sent is lost.
-func (c *cuttable) drops() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isCut
+// isFrozen reports whether a connection is silent.
+func (p *path) isFrozen(number int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return number <= p.frozen
 }
 
-// serve passes a connection on.
-func (c *cuttable) serve(near net.Conn) {
-	c.add(near)
-	if c.drops() {
-		return // it stays open and silent until the proxy heals
-	}
-	far, err := net.Dial("tcp4", c.target)
-	if err != nil {
-		near.Close()
-		return
-	}
-	c.add(far)
-	pass := func(from, to net.Conn) {
+// pass passes on what comes on a connection until it ends or falls silent.
+func (p *path) pass(near, far net.Conn) {
+	p.mu.Lock()
+	p.accepted++
+	number := p.accepted
+	p.conns = append(p.conns, near, far)
+	p.mu.Unlock()
+	oneWay := func(from, to net.Conn) {
 		buf := make([]byte, 32<<10)
 		for {
 			n, err := from.Read(buf)
-			if c.drops() {
+			if p.isFrozen(number) {
 				return // also an end does not get through
 			}
 			if n > 0 {
@@ -89,6 +77,6 @@
 			}
 		}
 	}
-	go pass(near, far)
-	pass(far, near)
+	go oneWay(near, far)
+	go oneWay(far, near)
 }
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -75,6 +75,18 @@
 	w.Close()
 }
 
+// reportEvery has the server send its report on each open connection every so often.
+func (s *caseServer) reportEvery(interval time.Duration) {
+	for range time.Tick(interval) {
+		s.mu.Lock()
+		conns := slices.Clone(s.conns)
+		s.mu.Unlock()
+		for _, w := range conns {
+			w.send(report())
+		}
+	}
+}
+
 // newCaseServer starts a case server.
 func newCaseServer(b *bench, number int, plan func(string, standin.Message) behaviour) (*caseServer, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
