--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -73,7 +73,7 @@
 	c.b.note("caller: set-up %s sent, number %s, class %s, first choice %d, answer within %v", id, number, class, dest, within)
 	headers = append([]string{"Call-Kind", class, "Answer-Within", strconv.Itoa(int(within.Milliseconds())),
 		"Routing-Data", fmt.Sprintf("dest:%d;width:1;via:-1", dest)}, headers...)
-	w.send(standin.Request("INVITE", number, id, id+"\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", headers...))
+	w.send(standin.Request("INVITE", number, id, id+"\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", headers...))
 	return id, nil
 }
 
--- a/review/stand2/common.go
+++ b/review/stand2/common.go
@@ -76,26 +76,27 @@
 var cases = map[string]func(*bench) error{}
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER TROUBLE, which is 0 for a run without the disruption")
 		os.Exit(2)
 	}
-	os.Exit(runCase(cases[os.Args[1]], os.Args[2]))
+	os.Exit(runCase(cases[os.Args[1]], os.Args[2], os.Args[3] != "0"))
 }
 
 // runCase runs a case and returns the exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
-func runCase(run func(*bench) error, folder string) int {
+func runCase(run func(*bench) error, folder string, trouble bool) int {
 	root, err := os.Getwd()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	b := &bench{trouble: os.Getenv("TROUBLE") != "0", root: root, start: time.Now()}
+	b := &bench{trouble: trouble, root: root, start: time.Now()}
 	if b.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
 	defer b.record.Close()
+	b.note("with the disruption: %v", trouble)
 	if b.tmp, err = os.MkdirTemp("", "review2-"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -224,7 +224,7 @@
 	}
 	c.answeredAt = time.Now()
 	s.b.note("%s: %s stands", s.id, id)
-	c.conn.send(standin.Response(200, "INVITE", id, id+"\r\nc=IN IP4 10.0.0.1\r\n"))
+	c.conn.send(standin.Response(200, "INVITE", id, id+"\r\nc=IN IP4 127.0.0.1\r\n"))
 	time.AfterFunc(p.hold, func() { s.end(id) })
 }
 
